Add the thin whole path on the users' platform

Change: graph (a job's steps, tasks and progress), fence (what may run at a worker, by tokens), runner (the agent's part), alloc (who starts where), leader (the scheduler's role under a lease, sessions with agents, progress in the store), intake (callers), mirror, policy, and the adapter in platform/. Starts are not written to the store: agents report what runs, and a new scheduler waits for every agent of the time before it before it starts what may run already. Submissions are written under the condition that the configuration is still the newest.

Ruled out: a write for each assignment (a store call on the path of each start, and no starts while the store is away).

--- /dev/null
+++ b/alloc/alloc.go
@@ -0,0 +1,225 @@
+// Package alloc decides which tasks start where, and what gives way.
+//
+// A Unit is what must start together: a whole gang, or one task. Decide goes
+// through the units by their rank and places each on the workers that fit it
+// best; it reads no clock and does no input or output.
+//
+// # Usage
+//
+//	for _, p := range alloc.Decide(workers, units) { ... }
+package alloc
+
+import (
+	"cmp"
+	"slices"
+
+	"hemlockhinge/graph"
+)
+
+// Worker is one worker that may take tasks. Free is what its runs leave.
+type Worker struct {
+	ID      string
+	Domain  string
+	Rack    string
+	Service string
+	Labels  []string
+	Total   graph.Size
+	Free    graph.Size
+	// Closed workers take no new task.
+	Closed bool
+	// Doubt is higher for workers whose last tasks went badly.
+	Doubt int
+}
+
+// Unit is what must start together.
+type Unit struct {
+	Job     string
+	Service string
+	Step    *graph.Step
+	// Tasks are the tasks to start.
+	Tasks []graph.Task
+	// Rank orders units; lower ones come first.
+	Rank float64
+	// Held is how many tasks of the same step and occurrence each worker
+	// already runs, by the worker's index.
+	Held map[int]int
+	// Spread allows a gang that belongs into one rack to be spread.
+	Spread bool
+}
+
+// Placement starts each task of a unit on the worker of the same index in At.
+type Placement struct {
+	Unit *Unit
+	At   []int
+}
+
+// Decide places units in the order of their rank. Free of the workers is
+// reduced by what is placed.
+func Decide(w []Worker, u []Unit) []Placement {
+	slices.SortStableFunc(u, func(a, b Unit) int { return cmp.Compare(a.Rank, b.Rank) })
+	var out []Placement
+	for i := range u {
+		at, ok := place(w, &u[i])
+		if !ok {
+			continue
+		}
+		for _, k := range at {
+			w[k].Free = w[k].Free.Sub(u[i].Step.Size)
+		}
+		out = append(out, Placement{
+			Unit: &u[i],
+			At:   at,
+		})
+	}
+	return out
+}
+
+// place finds workers for all tasks of a unit.
+func place(w []Worker, u *Unit) ([]int, bool) {
+	if u.Step.OneRack && len(u.Tasks) > 1 {
+		for _, r := range racks(w, u) {
+			if at, ok := fill(w, u, func(v *Worker) bool { return v.Rack == r }); ok {
+				return at, true
+			}
+		}
+		if !u.Spread && rackCould(w, u) {
+			return nil, false
+		}
+	}
+	if u.Step.DataRack != "" {
+		if at, ok := fill(w, u, func(v *Worker) bool { return v.Rack == u.Step.DataRack }); ok {
+			return at, true
+		}
+		if !u.Spread && dataCould(w, u) {
+			return nil, false
+		}
+	}
+	return fill(w, u, func(*Worker) bool { return true })
+}
+
+// racks returns the racks, the data's own first, then the fullest first.
+func racks(w []Worker, u *Unit) []string {
+	free := map[string]int{}
+	var names []string
+	for i := range w {
+		if _, ok := free[w[i].Rack]; !ok {
+			names = append(names, w[i].Rack)
+		}
+		free[w[i].Rack] += w[i].Free.Accelerators
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if a == u.Step.DataRack || b == u.Step.DataRack {
+			if a == u.Step.DataRack {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(free[a], free[b]), cmp.Compare(a, b))
+	})
+	return names
+}
+
+// rackCould reports whether some rack could hold the unit if it were empty.
+func rackCould(w []Worker, u *Unit) bool {
+	n := map[string]int{}
+	for i := range w {
+		if usable(&w[i], u) {
+			n[w[i].Rack] += capacity(w[i].Total, u, 0)
+		}
+	}
+	for _, v := range n {
+		if v >= len(u.Tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// dataCould reports whether the data's rack could hold the unit if it were
+// empty.
+func dataCould(w []Worker, u *Unit) bool {
+	n := 0
+	for i := range w {
+		if usable(&w[i], u) && w[i].Rack == u.Step.DataRack {
+			n += capacity(w[i].Total, u, 0)
+		}
+	}
+	return n >= len(u.Tasks)
+}
+
+func usable(v *Worker, u *Unit) bool {
+	if v.Closed || v.Service != u.Service {
+		return false
+	}
+	return u.Step.Label == "" || slices.Contains(v.Labels, u.Step.Label)
+}
+
+// capacity returns how many tasks of a unit fit into a size.
+func capacity(z graph.Size, u *Unit, held int) int {
+	n := len(u.Tasks)
+	t := u.Step.Size
+	for _, v := range [][2]int{{z.MilliCPU, t.MilliCPU}, {z.MemoryMiB, t.MemoryMiB}, {z.Accelerators, t.Accelerators}} {
+		if v[1] > 0 {
+			n = min(n, v[0]/v[1])
+		}
+	}
+	if m := u.Step.MaxPerWorker; m > 0 {
+		n = min(n, m-held)
+	}
+	return max(n, 0)
+}
+
+// fill spreads the tasks over the workers that ok allows: those without doubt
+// first, then the ones that they leave the least room on.
+func fill(w []Worker, u *Unit, ok func(*Worker) bool) ([]int, bool) {
+	type spot struct {
+		worker int
+		fits   int
+	}
+	var spots []spot
+	total := 0
+	for i := range w {
+		if !usable(&w[i], u) || !ok(&w[i]) {
+			continue
+		}
+		if n := capacity(w[i].Free, u, u.Held[i]); n > 0 {
+			spots = append(spots, spot{
+				worker: i,
+				fits:   n,
+			})
+			total += n
+		}
+	}
+	if total < len(u.Tasks) {
+		return nil, false
+	}
+	slices.SortFunc(spots, func(a, b spot) int {
+		x, y := &w[a.worker], &w[b.worker]
+		return cmp.Or(
+			cmp.Compare(x.Doubt, y.Doubt),
+			cmp.Compare(waste(x, u, a.fits), waste(y, u, b.fits)),
+			cmp.Compare(x.ID, y.ID),
+		)
+	})
+	var at []int
+	for _, s := range spots {
+		for range min(s.fits, len(u.Tasks)-len(at)) {
+			at = append(at, s.worker)
+		}
+	}
+	return at, true
+}
+
+// waste is what a worker would have left, as a share of its whole size: its
+// scarcest part counts most.
+func waste(v *Worker, u *Unit, fits int) float64 {
+	z := v.Free.Sub(u.Step.Size.Times(min(fits, len(u.Tasks))))
+	return share(z.MilliCPU, v.Total.MilliCPU) + share(z.MemoryMiB, v.Total.MemoryMiB) + share(z.Accelerators, v.Total.Accelerators)
+}
+
+func share(a, b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
--- a/cmd/hemlockhinge/agent.go
+++ b/cmd/hemlockhinge/agent.go
@@ -3,6 +3,7 @@
 import (
 	"hemlockhinge/agent"
 	"hemlockhinge/conf"
+	"hemlockhinge/platform"
 	"hemlockhinge/wire"
 	"hemlockhinge/worker"
 )
@@ -12,7 +13,7 @@
 stops it gracefully; a second one stops it at once.`
 
 type agentRun struct {
-	Settings string `long:"settings" required:"true" description:"settings file, JSON with comments"`
+	Settings string `long:"settings" description:"settings file, JSON with comments; without it, the platform's settings that the environment names"`
 }
 
 func agentCommand() command {
@@ -26,6 +27,9 @@
 
 // Execute implements flags.Commander.
 func (r *agentRun) Execute([]string) error {
+	if r.Settings == "" {
+		return onPlatform(platform.RunAgent)
+	}
 	s, err := settings(r.Settings, conf.ParseAgentSettings)
 	if err != nil {
 		return err
--- a/cmd/hemlockhinge/entry.go
+++ b/cmd/hemlockhinge/entry.go
@@ -3,6 +3,7 @@
 import (
 	"hemlockhinge/conf"
 	"hemlockhinge/entry"
+	"hemlockhinge/platform"
 	"hemlockhinge/store"
 	"hemlockhinge/wire"
 )
@@ -12,7 +13,7 @@
 second one stops it at once.`
 
 type entryRun struct {
-	Settings string `long:"settings" required:"true" description:"settings file, JSON with comments"`
+	Settings string `long:"settings" description:"settings file, JSON with comments; without it, the platform's settings that the environment names"`
 }
 
 func entryCommand() command {
@@ -26,6 +27,9 @@
 
 // Execute implements flags.Commander.
 func (r *entryRun) Execute([]string) error {
+	if r.Settings == "" {
+		return onPlatform(platform.RunEntry)
+	}
 	s, err := settings(r.Settings, conf.ParseEntrySettings)
 	if err != nil {
 		return err
--- /dev/null
+++ b/graph/graph.go
@@ -0,0 +1,138 @@
+// Package graph holds a job as a graph of steps, and how far it has come.
+//
+// A Job is what the caller submitted and never changes. A step is a number of
+// equal tasks; it may start once all tasks of the steps before it are done. A
+// Progress records what is known of each task: whether it is done, how often it
+// failed, its last attempt and its newest checkpoint. Both are pure values.
+//
+// # Usage
+//
+//	p := graph.NewProgress(job)
+//	for _, t := range p.Ready(job, now) { ... }
+//	p.End(job, graph.End{Task: t, Attempt: 1, How: graph.Done})
+package graph
+
+import (
+	"time"
+)
+
+// Size is what a task takes of a worker.
+type Size struct {
+	MilliCPU     int `json:"milli_cpu,omitempty" msgpack:"c"`
+	MemoryMiB    int `json:"memory_mib,omitempty" msgpack:"m"`
+	Accelerators int `json:"accelerators,omitempty" msgpack:"a"`
+}
+
+// Add returns the sum of s and t.
+func (s Size) Add(t Size) Size {
+	return Size{
+		MilliCPU:     s.MilliCPU + t.MilliCPU,
+		MemoryMiB:    s.MemoryMiB + t.MemoryMiB,
+		Accelerators: s.Accelerators + t.Accelerators,
+	}
+}
+
+// Sub returns s without t.
+func (s Size) Sub(t Size) Size { return s.Add(t.Times(-1)) }
+
+// Times returns s n times.
+func (s Size) Times(n int) Size {
+	return Size{
+		MilliCPU:     s.MilliCPU * n,
+		MemoryMiB:    s.MemoryMiB * n,
+		Accelerators: s.Accelerators * n,
+	}
+}
+
+// Fits reports whether s has room for t.
+func (s Size) Fits(t Size) bool {
+	return t.MilliCPU <= s.MilliCPU && t.MemoryMiB <= s.MemoryMiB && t.Accelerators <= s.Accelerators
+}
+
+// Step is a number of equal tasks of a job.
+type Step struct {
+	Count        int           `json:"count" msgpack:"n"`
+	Size         Size          `json:"size" msgpack:"s"`
+	Estimate     time.Duration `json:"estimate_ns,omitempty" msgpack:"e"`
+	After        []int         `json:"after,omitempty" msgpack:"b"`
+	Gang         bool          `json:"gang,omitempty" msgpack:"g"`
+	OneRack      bool          `json:"one_rack,omitempty" msgpack:"r"`
+	Label        string        `json:"label,omitempty" msgpack:"l"`
+	DataRack     string        `json:"data_rack,omitempty" msgpack:"d"`
+	MaxPerWorker int           `json:"max_per_worker,omitempty" msgpack:"w"`
+	Checkpoints  bool          `json:"checkpoints,omitempty" msgpack:"k"`
+	Speculative  bool          `json:"speculative,omitempty" msgpack:"p"`
+	Lasting      bool          `json:"lasting,omitempty" msgpack:"o"`
+	Image        string        `json:"image,omitempty" msgpack:"i"`
+	TailTarget   time.Duration `json:"tail_target_ns,omitempty" msgpack:"t"`
+	Filler       bool          `json:"filler,omitempty" msgpack:"f"`
+	MayMiss      int           `json:"may_miss,omitempty" msgpack:"y"`
+}
+
+// Job is what a caller submitted, with what the configuration said of its queue
+// at that moment.
+type Job struct {
+	ID       string        `json:"id" msgpack:"i"`
+	Queue    string        `json:"queue" msgpack:"q"`
+	Customer string        `json:"customer,omitempty" msgpack:"c"`
+	Service  string        `json:"service" msgpack:"w"`
+	Spec     string        `json:"spec,omitempty" msgpack:"s"`
+	Steps    []Step        `json:"steps" msgpack:"p"`
+	Repeat   int           `json:"repeat,omitempty" msgpack:"r"`
+	First    int64         `json:"first_unix_ms,omitempty" msgpack:"f"`
+	Interval time.Duration `json:"interval_ns,omitempty" msgpack:"v"`
+	// MaxAttempts is how many runs of a task may fail.
+	MaxAttempts int `json:"max_attempts" msgpack:"m"`
+}
+
+// Occurrences returns how often the steps run.
+func (j *Job) Occurrences() int { return max(j.Repeat, 1) }
+
+// Timed reports whether the job's occurrences have due times.
+func (j *Job) Timed() bool { return j.Repeat > 0 }
+
+// Due returns when an occurrence is due, in Unix milliseconds; 0 for a job
+// without times.
+func (j *Job) Due(occurrence int) int64 {
+	if !j.Timed() {
+		return 0
+	}
+	return j.First + int64(occurrence)*j.Interval.Milliseconds()
+}
+
+// Tasks returns the number of tasks of one occurrence.
+func (j *Job) Tasks() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Count
+	}
+	return n
+}
+
+// Chain returns the longest chain of estimates through the steps.
+func (j *Job) Chain() time.Duration {
+	var longest time.Duration
+	at := make([]time.Duration, len(j.Steps))
+	for i, s := range j.Steps {
+		var before time.Duration
+		for _, b := range s.After {
+			before = max(before, at[b])
+		}
+		at[i] = before + s.Estimate
+		longest = max(longest, at[i])
+	}
+	return longest
+}
+
+// Work returns the accelerator-seconds and core-seconds of one occurrence by
+// its estimates.
+func (j *Job) Work() (accelerators, cores float64) {
+	for _, s := range j.Steps {
+		t := s.Estimate.Seconds() * float64(s.Count)
+		accelerators += t * float64(s.Size.Accelerators)
+		cores += t * float64(s.Size.MilliCPU) / milli
+	}
+	return accelerators, cores
+}
+
+const milli = 1000
--- /dev/null
+++ b/intake/query.go
@@ -0,0 +1,150 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"hemlockhinge/graph"
+	"hemlockhinge/leader"
+	"hemlockhinge/store"
+	"hemlockhinge/wire"
+)
+
+// Time limits of a question to the scheduler in another process.
+const (
+	queryTimeout = 400 * time.Millisecond
+	dialTimeout  = 300 * time.Millisecond
+)
+
+// query asks the scheduler in another process, over one connection.
+type query struct {
+	net  wire.Network
+	role *leader.Role
+
+	mu   sync.Mutex
+	addr string
+	peer *wire.Peer
+}
+
+func (q *query) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.peer != nil {
+		q.peer.Close()
+		q.peer = nil
+	}
+}
+
+// connect returns a connection to the last known scheduler.
+func (q *query) connect(c context.Context) (*wire.Peer, error) {
+	_, addr := q.role.Holder()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.peer != nil && q.addr == addr {
+		select {
+		case <-q.peer.Done():
+		default:
+			return q.peer, nil
+		}
+	}
+	if q.peer != nil {
+		q.peer.Close()
+		q.peer = nil
+	}
+	c, cancel := context.WithTimeout(c, dialTimeout)
+	defer cancel()
+	n, err := q.net.Dial(c, addr)
+	if err != nil {
+		return nil, err
+	}
+	p := wire.NewPeer(n, wire.HandlerFunc(func(context.Context, *wire.Peer, wire.Message) (wire.Message, error) {
+		return nil, wire.Refuse(wire.CodeUnknown, "this side takes no calls")
+	}))
+	go func() { _ = p.Run(context.Background()) }()
+	q.peer = p
+	q.addr = addr
+	return p, nil
+}
+
+// call asks; a connection that does not answer in time is closed, since it may
+// be silent for good.
+func call[R wire.Message](c context.Context, q *query, m wire.Message) (R, error) {
+	var z R
+	p, err := q.connect(c)
+	if err != nil {
+		return z, err
+	}
+	r, err := wire.CallFor[R](c, p, m, queryTimeout)
+	if errors.Is(err, context.DeadlineExceeded) {
+		p.Close()
+	}
+	return r, err
+}
+
+func (q *query) pending(c context.Context, queue string) (int, error) {
+	r, err := call[*wire.Pending](c, q, &wire.AskPending{
+		Queue: queue,
+	})
+	if err != nil {
+		return 0, err
+	}
+	return r.Count, nil
+}
+
+// stateOf asks the scheduler where a job stands, and the store when the
+// scheduler does not know or cannot be reached.
+func (d *Intake) stateOf(c context.Context, id string) (graph.State, string, error) {
+	s, queue, err := d.p.Leader.State(id)
+	if err != nil {
+		var r *wire.JobState
+		r, err = call[*wire.JobState](c, &d.q, &wire.AskState{
+			Job: id,
+		})
+		if err == nil {
+			s, queue = graph.State(r.State), r.Queue
+		}
+	}
+	if err == nil && s != "" {
+		return s, queue, nil
+	}
+	return d.storedState(c, id)
+}
+
+// storedState reads from the store where a job stands.
+func (d *Intake) storedState(c context.Context, id string) (graph.State, string, error) {
+	i, err := d.p.Store.Get(c, leader.JobKey(id))
+	var none *store.NotFoundError
+	if errors.As(err, &none) {
+		return "", "", nil
+	}
+	if err != nil {
+		return "", "", err
+	}
+	j, err := leader.DecodeJob(i.Value)
+	if err != nil {
+		return "", "", err
+	}
+	i, err = d.p.Store.Get(c, leader.ProgressKey(id))
+	if err != nil && !errors.As(err, &none) {
+		return "", "", err
+	}
+	if err == nil {
+		p, err := leader.DecodeProgress(i.Value)
+		if err != nil {
+			return "", "", err
+		}
+		if p.State.Final() {
+			return p.State, j.Queue, nil
+		}
+	}
+	_, err = d.p.Store.Get(c, leader.CancelKey(id))
+	switch {
+	case err == nil:
+		return graph.Cancelled, j.Queue, nil
+	case errors.As(err, &none):
+		return graph.Queued, j.Queue, nil
+	}
+	return "", "", err
+}
--- /dev/null
+++ b/leader/flush.go
@@ -0,0 +1,119 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hemlockhinge/pause"
+	"hemlockhinge/store"
+)
+
+// flushLoop records changes of progress: at once when a caller waits for one,
+// and else together after a short delay.
+func (t *term) flushLoop(c context.Context) {
+	k := time.NewTicker(flushDelay)
+	defer k.Stop()
+	for {
+		select {
+		case <-c.Done():
+			return
+		case <-t.save:
+		case <-k.C:
+		}
+		for c.Err() == nil {
+			err := t.flush(c)
+			if err == nil {
+				break
+			}
+			var lost *store.TxnConflictError
+			if errors.As(err, &lost) {
+				t.log.Warn("role_taken_by_another")
+				t.end()
+				return
+			}
+			t.log.WithError(err).Warn("flush_failed")
+			pause.For(c, flushPause)
+		}
+	}
+}
+
+// change is one job's progress that is being recorded.
+type change struct {
+	job     *job
+	version uint64
+	value   []byte
+}
+
+// flush records all changes that are not in the store yet, and lets the workers
+// forget the ends among them.
+func (t *term) flush(c context.Context) error {
+	c, cancel := context.WithTimeout(c, flushTimeout)
+	defer cancel()
+	for {
+		l, err := t.changes()
+		if err != nil {
+			return err
+		}
+		if len(l) > 0 {
+			x := store.Txn{
+				If: []store.Expect{{Key: roleKey, Revision: t.grip.epoch}},
+			}
+			for _, v := range l {
+				x.Put = append(x.Put, store.Write{
+					Key:   ProgressKey(v.job.ID),
+					Value: v.value,
+				})
+			}
+			if _, err := t.l.p.Store.Commit(c, x); err != nil {
+				return err
+			}
+		}
+		t.recorded(l)
+		if len(l) < store.MaxTxn-1 {
+			return nil
+		}
+	}
+}
+
+// changes returns as many changes as fit into one transaction.
+func (t *term) changes() ([]change, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var l []change
+	for _, j := range t.jobs {
+		if j.version == j.stored || len(l) >= store.MaxTxn-1 {
+			continue
+		}
+		b, err := msgpack.Marshal(j.prog)
+		if err != nil {
+			return nil, err
+		}
+		l = append(l, change{
+			job:     j,
+			version: j.version,
+			value:   b,
+		})
+	}
+	return l, nil
+}
+
+func (t *term) recorded(l []change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range l {
+		v.job.stored = v.version
+		if v.job.version == v.version {
+			v.job.shown = v.job.prog.State
+			v.job.urgent = false
+		}
+		if v.job.shown.Final() {
+			t.log.WithField("job", v.job.ID).WithField("state", v.job.shown).Info("job_ended")
+		}
+	}
+	for _, m := range t.members {
+		m.noteEnds()
+	}
+}
--- /dev/null
+++ b/leader/pass.go
@@ -0,0 +1,370 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hemlockhinge/alloc"
+	"hemlockhinge/graph"
+	"hemlockhinge/policy"
+	"hemlockhinge/wire"
+)
+
+const (
+	// attemptJump leaves out attempts that an earlier term may have given.
+	attemptJump = 16
+	// spreadWait is how much of its estimate a unit waits for its own rack.
+	spreadWait = 1.0
+)
+
+// queue returns a job's queue, or nil when the configuration has it no more.
+func (t *term) queue(j *job) *policy.Queue {
+	o := t.l.current()
+	if o.Config == nil {
+		return nil
+	}
+	return o.Config.Queue(j.Queue)
+}
+
+// pass looks at everything once and orders what follows; t.mu is held.
+func (t *term) pass(now time.Time) {
+	for _, m := range t.members {
+		if t.over(m, now) {
+			m.known = true
+			for _, r := range m.runs {
+				t.vanished(m, r)
+			}
+		}
+	}
+	t.halts(now)
+	w, at := t.workers(now)
+	u := t.units(now, at)
+	for _, p := range alloc.Decide(w, u) {
+		t.place(p, at, now)
+	}
+}
+
+// workers returns the workers as alloc sees them, and the members in the same
+// order.
+func (t *term) workers(now time.Time) ([]alloc.Worker, []*member) {
+	out := t.l.current().Out
+	var at []*member
+	for _, m := range t.members {
+		at = append(at, m)
+	}
+	slices.SortFunc(at, func(a, b *member) int { return cmp.Compare(a.addr, b.addr) })
+	w := make([]alloc.Worker, 0, len(at))
+	for _, m := range at {
+		f := m.facts
+		d := m.judge.doubt(now)
+		w = append(w, alloc.Worker{
+			ID:      m.addr,
+			Domain:  f.Zone,
+			Rack:    f.Rack,
+			Service: f.Service,
+			Labels:  f.Labels,
+			Total:   f.Capacity,
+			Free:    f.Capacity.Sub(m.used()),
+			Closed:  m.peer == nil || !m.known || !f.Known || f.Leaving || f.Gone || out[f.Zone] || d >= closedDoubt,
+			Doubt:   d,
+		})
+	}
+	return w, at
+}
+
+// used returns what may be taken at the member's worker.
+func (m *member) used() graph.Size {
+	var z graph.Size
+	for _, r := range m.runs {
+		z = z.Add(r.size)
+	}
+	for _, a := range m.alien {
+		z = z.Add(a.size)
+	}
+	return z
+}
+
+// unaccounted reports whether a worker may still run something that an earlier
+// term started and this one has not heard of.
+func (t *term) unaccounted() bool {
+	for _, m := range t.members {
+		if !m.known {
+			return true
+		}
+	}
+	return false
+}
+
+// units returns all that may start now.
+func (t *term) units(now time.Time, at []*member) []alloc.Unit {
+	open := t.unaccounted()
+	wall := t.wall(now)
+	var u []alloc.Unit
+	for _, j := range t.jobs {
+		if !j.live() || (open && j.revision < t.grip.epoch) {
+			continue
+		}
+		q := t.queue(j)
+		if q == nil {
+			continue
+		}
+		for k := range j.Occurrences() {
+			if j.Timed() && j.Due(k) > wall {
+				break
+			}
+			for s := range j.Steps {
+				u = append(u, t.stepUnits(j, q, k, s, now, at)...)
+			}
+		}
+	}
+	return u
+}
+
+// stepUnits returns what may start now of one step.
+func (t *term) stepUnits(j *job, q *policy.Queue, occurrence, step int, now time.Time, at []*member) []alloc.Unit {
+	s := &j.Steps[step]
+	v := alloc.Unit{
+		Job:     j.ID,
+		Service: q.Service,
+		Step:    s,
+		Rank:    rank(j, q),
+		Spread:  now.Sub(j.arrived) > time.Duration(spreadWait*float64(s.Estimate)),
+	}
+	var tasks []graph.Task
+	busy := 0
+	for i := range s.Count {
+		k := graph.Task{
+			Job:        j.ID,
+			Occurrence: occurrence,
+			Step:       step,
+			Index:      i,
+		}
+		switch {
+		case j.runs[k] != nil:
+			busy++
+		case !j.prog.Of(j.Job, k).Done && !now.Before(j.again[k]):
+			tasks = append(tasks, k)
+		}
+	}
+	if len(tasks) == 0 || !j.prog.StepDue(j.Job, occurrence, step) {
+		return nil
+	}
+	if s.MaxPerWorker > 0 {
+		v.Held = j.held(occurrence, step, at)
+	}
+	if s.Gang {
+		if busy > 0 || len(tasks) < s.Count {
+			return nil
+		}
+		v.Tasks = tasks
+		return []alloc.Unit{v}
+	}
+	var u []alloc.Unit
+	for _, k := range tasks {
+		v.Tasks = []graph.Task{k}
+		u = append(u, v)
+	}
+	return u
+}
+
+// held counts the runs of a step at each member.
+func (j *job) held(occurrence, step int, at []*member) map[int]int {
+	n := map[int]int{}
+	for k, r := range j.runs {
+		if k.Occurrence == occurrence && k.Step == step {
+			n[slices.Index(at, r.at)]++
+		}
+	}
+	return n
+}
+
+// classWeight sets the classes apart in a rank, in seconds of age.
+const classWeight = 1e6
+
+// rank orders the units of jobs: by the class of their queue, then by age.
+func rank(j *job, q *policy.Queue) float64 {
+	return classWeight*float64(q.Priority) + float64(j.revision)
+}
+
+// place starts a unit where alloc has placed it.
+func (t *term) place(p alloc.Placement, at []*member, now time.Time) {
+	j := t.jobs[p.Unit.Job]
+	attempt := 0
+	for _, k := range p.Unit.Tasks {
+		attempt = max(attempt, j.prog.Of(j.Job, k).Attempt)
+	}
+	attempt++
+	if j.revision < t.grip.epoch && !j.bumped[p.Unit.Tasks[0]] {
+		attempt += attemptJump
+	}
+	for i, k := range p.Unit.Tasks {
+		if j.bumped == nil {
+			j.bumped = map[graph.Task]bool{}
+		}
+		j.bumped[k] = true
+		v := j.prog.Of(j.Job, k)
+		v.Attempt = attempt
+		r := &run{
+			task:    k,
+			attempt: attempt,
+			at:      at[p.At[i]],
+			size:    p.Unit.Step.Size,
+			begun:   now,
+			saved:   v.Saved,
+		}
+		j.runs[k] = r
+		r.at.runs[k] = r
+		t.launch(j, r)
+	}
+}
+
+// savedFor returns the checkpoint that a task resumes from; all members of a
+// gang get the same one, the newest of any member.
+func savedFor(j *job, k graph.Task) string {
+	if !j.Steps[k.Step].Gang {
+		return j.prog.Of(j.Job, k).Saved
+	}
+	newest := ""
+	for i := range j.Steps[k.Step].Count {
+		k.Index = i
+		newest = max(newest, j.prog.Of(j.Job, k).Saved)
+	}
+	return newest
+}
+
+// launch sends the order to start a run.
+func (t *term) launch(j *job, r *run) {
+	m := &wire.Launch{
+		Task:    r.task.String(),
+		Attempt: r.attempt,
+		Spec:    j.Spec,
+		Saved:   savedFor(j, r.task),
+		Size:    r.size,
+	}
+	p := r.at.peer
+	t.log.WithFields(logrus.Fields{
+		"task":    m.Task,
+		"attempt": r.attempt,
+		"agent":   r.at.addr,
+		"worker":  r.at.facts.ID,
+		"queue":   j.Queue,
+		"waited":  time.Since(j.arrived).Milliseconds(),
+		"resumes": m.Saved != "",
+	}).Info("run_ordered")
+	t.group.Go(func() {
+		v, err := wire.CallFor[*wire.Launched](t.ctx, p, m, launchTimeout)
+		t.launched(j, r, v, err)
+	})
+}
+
+// launchTimeout bounds the wait for an agent to settle a start; after it the
+// session's standings say whether the run exists.
+const launchTimeout = 20 * time.Second
+
+func (t *term) launched(j *job, r *run, v *wire.Launched, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer t.poke()
+	if j.runs[r.task] != r {
+		return
+	}
+	var f *wire.RefusedError
+	switch {
+	case err == nil:
+		r.phase = running
+		r.seq = v.Seq
+		r.doubt = false
+		j.prog.Started = true
+	case errors.As(err, &f):
+		t.log.WithFields(logrus.Fields{"task": r.task.String(), "attempt": r.attempt, "agent": r.at.addr, "code": f.Code.String()}).WithError(err).Warn("run_refused")
+		delete(j.runs, r.task)
+		delete(r.at.runs, r.task)
+		j.again[r.task] = time.Now().Add(retryInterval)
+	default:
+		r.doubt = true
+	}
+}
+
+// halts stops what must not go on: runs of ended jobs, members of gangs that
+// are not whole, and runs that should not be there.
+func (t *term) halts(now time.Time) {
+	for _, j := range t.jobs {
+		for k, r := range j.runs {
+			if !j.live() || (j.Steps[k.Step].Gang && !j.whole(k)) {
+				t.halt(r, now)
+			}
+		}
+	}
+	for _, m := range t.members {
+		for k, a := range m.alien {
+			if m.peer != nil && now.Sub(a.haltedAt) > haltInterval {
+				a.haltedAt = now
+				m.alien[k] = a
+				t.sendHalt(m, k, a.attempt)
+			}
+		}
+	}
+}
+
+// whole reports whether a gang has all its members, or has ended as done.
+func (j *job) whole(k graph.Task) bool {
+	if j.prog.Of(j.Job, k).Done {
+		return true
+	}
+	for i := range j.Steps[k.Step].Count {
+		k.Index = i
+		if j.runs[k] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *term) halt(r *run, now time.Time) {
+	if r.phase != running || r.at.peer == nil || now.Sub(r.haltedAt) < haltInterval {
+		return
+	}
+	r.haltedAt = now
+	r.halting = true
+	t.sendHalt(r.at, r.task, r.attempt)
+}
+
+func (t *term) sendHalt(m *member, k graph.Task, attempt int) {
+	t.log.WithFields(logrus.Fields{"task": k.String(), "attempt": attempt, "agent": m.addr}).Info("stop_ordered")
+	p := m.peer
+	t.group.Go(func() {
+		c, cancel := context.WithTimeout(t.ctx, haltInterval)
+		defer cancel()
+		_, err := p.Call(c, &wire.Halt{
+			Task:    k.String(),
+			Attempt: attempt,
+		})
+		if err != nil {
+			t.log.WithError(err).WithField("task", k.String()).Info("stop_unconfirmed")
+		}
+	})
+}
+
+// steady returns a time of day that no jump of the clock of the day changes.
+func (t *term) steady(now time.Time) time.Time {
+	return t.began.Round(0).Add(now.Sub(t.began))
+}
+
+// wall returns the time of day in Unix milliseconds, as the median of what the
+// agents' clocks and our own say.
+func (t *term) wall(now time.Time) int64 {
+	s := t.steady(now)
+	o := []time.Duration{t.l.p.Wall().Round(0).Sub(s)}
+	for _, m := range t.members {
+		if m.clock && m.peer != nil {
+			o = append(o, m.wall)
+		}
+	}
+	slices.Sort(o)
+	return s.Add(o[len(o)/2]).UnixMilli()
+}
--- /dev/null
+++ b/leader/term.go
@@ -0,0 +1,291 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hemlockhinge/graph"
+	"hemlockhinge/mirror"
+	"hemlockhinge/pause"
+	"hemlockhinge/store"
+)
+
+// Intervals of a term.
+const (
+	passInterval  = 100 * time.Millisecond
+	flushDelay    = 300 * time.Millisecond
+	flushTimeout  = 2 * time.Second
+	flushPause    = 100 * time.Millisecond
+	handTimeout   = 400 * time.Millisecond
+	restorePause  = 100 * time.Millisecond
+	haltInterval  = 500 * time.Millisecond
+	retryInterval = 150 * time.Millisecond
+)
+
+// job is a job as the scheduler knows it.
+type job struct {
+	*graph.Job
+	prog      *graph.Progress
+	revision  uint64
+	cancelled bool
+	arrived   time.Time
+	runs      map[graph.Task]*run
+	// version counts changes of prog, and stored is the version in the store.
+	version uint64
+	stored  uint64
+	shown   graph.State
+	// urgent means that a caller waits for the store to have the change.
+	urgent bool
+	// again is when a step whose start was refused may be tried again.
+	again map[graph.Task]time.Time
+	// bumped are the tasks that this term has started before.
+	bumped map[graph.Task]bool
+}
+
+// live reports whether tasks of the job may still start.
+func (j *job) live() bool { return !j.cancelled && !j.prog.State.Final() }
+
+// phase is where a run stands.
+type phase uint8
+
+const (
+	launching phase = iota
+	running
+)
+
+// run is one run of a task that may exist at a worker.
+type run struct {
+	task    graph.Task
+	attempt int
+	at      *member
+	size    graph.Size
+	phase   phase
+	// doubt means that the start's reply was lost with the session.
+	doubt bool
+	// seq is the agent's first standing that must list the run.
+	seq      uint64
+	begun    time.Time
+	saved    string
+	percent  int
+	halting  bool
+	haltedAt time.Time
+}
+
+// term is one hold of the scheduler's role.
+type term struct {
+	l     *Leader
+	grip  grip
+	log   *logrus.Entry
+	began time.Time
+	wake  chan struct{}
+	save  chan struct{}
+	end   context.CancelFunc
+
+	mu       sync.Mutex
+	listed   bool
+	restored bool
+	jobs     map[string]*job
+	members  map[string]*member
+	sessions uint64
+	ctx      context.Context //nolint:containedctx // the term's own life
+	group    sync.WaitGroup
+}
+
+func newTerm(l *Leader, g grip) *term {
+	return &term{
+		l:       l,
+		grip:    g,
+		log:     l.p.Log.WithField("epoch", g.epoch),
+		began:   time.Now(),
+		wake:    make(chan struct{}, 1),
+		save:    make(chan struct{}, 1),
+		jobs:    map[string]*job{},
+		members: map[string]*member{},
+	}
+}
+
+// run schedules until c ends; end ends c.
+func (t *term) run(c context.Context, end context.CancelFunc) {
+	t.mu.Lock()
+	t.ctx = c
+	t.end = end
+	t.mu.Unlock()
+	m := mirror.Mirror{
+		Store:  t.l.p.Store,
+		Prefix: inputsPrefix,
+		Apply:  t.apply,
+		Listed: t.markListed,
+		Log:    t.log,
+	}
+	t.group.Go(func() { m.Run(c) })
+	t.group.Go(func() { t.flushLoop(c) })
+	t.passLoop(c)
+	t.group.Wait()
+}
+
+func (t *term) poke() { poke(t.wake) }
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (t *term) loaded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.restored
+}
+
+// markListed is called after each complete listing of the inputs.
+func (t *term) markListed(uint64) {
+	t.mu.Lock()
+	first := !t.listed
+	t.listed = true
+	t.mu.Unlock()
+	if first {
+		t.restore()
+	}
+	t.poke()
+}
+
+// restore reads the progress of all jobs, once.
+func (t *term) restore() {
+	for {
+		items, _, err := mirror.All(t.ctx, t.l.p.Store, progressPrefix)
+		if err == nil {
+			t.restoreAll(items)
+			return
+		}
+		t.log.WithError(err).Warn("restore_failed")
+		if !pause.For(t.ctx, restorePause) {
+			return
+		}
+	}
+}
+
+func (t *term) restoreAll(items []store.Item) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, i := range items {
+		id, _ := idOf(i.Key, progressPrefix)
+		j := t.jobs[id]
+		p, err := DecodeProgress(i.Value)
+		if err != nil || j == nil {
+			t.log.WithError(err).WithField("job", id).Warn("progress_without_job")
+			continue
+		}
+		p.Restore(j.Job)
+		j.prog = p
+		j.shown = p.State
+	}
+	t.restored = true
+	t.log.WithFields(logrus.Fields{
+		"jobs":   len(t.jobs),
+		"agents": len(t.members),
+		"ms":     time.Since(t.began).Milliseconds(),
+	}).Info("term_restored")
+}
+
+// apply takes in a change of an input.
+func (t *term) apply(i store.Item) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if id, ok := idOf(i.Key, jobsPrefix); ok {
+		t.applyJob(id, i)
+	}
+	if id, ok := idOf(i.Key, cancelsPrefix); ok && !i.Deleted {
+		t.applyCancel(id)
+	}
+	if a, ok := idOf(i.Key, agentsPrefix); ok {
+		t.applyAgent(a, i)
+	}
+	t.poke()
+}
+
+func (t *term) applyJob(id string, i store.Item) {
+	if i.Deleted {
+		delete(t.jobs, id)
+		return
+	}
+	if t.jobs[id] != nil {
+		return
+	}
+	v, err := DecodeJob(i.Value)
+	if err != nil {
+		t.log.WithError(err).WithField("job", id).Error("job_unreadable")
+		return
+	}
+	t.jobs[id] = &job{
+		Job:      v,
+		prog:     graph.NewProgress(v),
+		revision: i.Revision,
+		arrived:  time.Now(),
+		runs:     map[graph.Task]*run{},
+		shown:    graph.Queued,
+		again:    map[graph.Task]time.Time{},
+	}
+	t.log.WithFields(logrus.Fields{"job": id, "queue": v.Queue, "revision": i.Revision}).Info("job_known")
+}
+
+func (t *term) applyCancel(id string) {
+	j := t.jobs[id]
+	if j == nil || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	t.log.WithFields(logrus.Fields{"job": id, "runs": len(j.runs)}).Info("job_cancelled")
+}
+
+func (t *term) passLoop(c context.Context) {
+	k := time.NewTicker(passInterval)
+	defer k.Stop()
+	for {
+		select {
+		case <-c.Done():
+			return
+		case <-t.wake:
+		case <-k.C:
+		}
+		t.mu.Lock()
+		if t.restored {
+			t.pass(time.Now())
+		}
+		t.mu.Unlock()
+	}
+}
+
+// state returns where a job stands, as callers may see it.
+func (t *term) state(id string) (graph.State, string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	j := t.jobs[id]
+	if j == nil {
+		return "", ""
+	}
+	switch {
+	case j.shown.Final():
+		return j.shown, j.Queue
+	case j.cancelled:
+		return graph.Cancelled, j.Queue
+	case j.prog.Started:
+		return graph.Running, j.Queue
+	}
+	return graph.Queued, j.Queue
+}
+
+func (t *term) pending(queue string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, j := range t.jobs {
+		if j.Queue == queue && j.live() && !j.prog.Started {
+			n++
+		}
+	}
+	return n
+}
--- a/store/store.go
+++ b/store/store.go
@@ -134,3 +134,55 @@
 
 // Unwrap returns the cause.
 func (e *UncertainError) Unwrap() error { return e.Err }
+
+// Write is one value to put.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease Lease
+}
+
+// Expect is the revision that a key must have; 0 means that it must not exist.
+type Expect struct {
+	Key      string
+	Revision uint64
+}
+
+// Txn is a change of several keys that happens whole or not at all.
+type Txn struct {
+	If     []Expect
+	Put    []Write
+	Remove []string
+}
+
+// MaxTxn is the most entries that one Txn may have, of all kinds together.
+const MaxTxn = 32
+
+// Committer is a Port that changes several keys at once.
+type Committer interface {
+	Port
+	// Commit carries out a change and returns the new revision;
+	// *TxnConflictError when an expectation does not hold, *NotFoundError
+	// when a lease does not exist, or *UnavailableError.
+	Commit(c context.Context, t Txn) (uint64, error)
+}
+
+// TxnConflictError says that an expectation of a Txn does not hold. Items are
+// the expected keys as they are now; those that do not exist have revision 0.
+type TxnConflictError struct {
+	Items []Item
+}
+
+func (e *TxnConflictError) Error() string {
+	return fmt.Sprintf("store transaction: an expectation on %d keys does not hold", len(e.Items))
+}
+
+// Item returns the present state of an expected key.
+func (e *TxnConflictError) Item(key string) (Item, bool) {
+	for _, i := range e.Items {
+		if i.Key == key {
+			return i, i.Revision > 0
+		}
+	}
+	return Item{}, false
+}
