Hear agents only once the records are restored; keep early cancellations

Cause: a new scheduler called agents while it was still listing the store, so ends of jobs that it did not know yet were acknowledged and forgotten (TWICE); cancellations are listed before their jobs and were dropped (UNASKED); tasks of one step placed in one pass did not count one another (ROUTE).

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -41,7 +41,7 @@
 	// Rank orders units; lower ones come first.
 	Rank float64
 	// Held is how many tasks of the same step and occurrence each worker
-	// already runs, by the worker's index.
+	// already runs, by the worker's index. Units of one step share it.
 	Held map[int]int
 	// Spread allows a gang that belongs into one rack to be spread.
 	Spread bool
@@ -65,6 +65,9 @@
 		}
 		for _, k := range at {
 			w[k].Free = w[k].Free.Sub(u[i].Step.Size)
+			if u[i].Held != nil {
+				u[i].Held[k]++
+			}
 		}
 		out = append(out, Placement{
 			Unit: &u[i],
--- a/leader/member.go
+++ b/leader/member.go
@@ -99,6 +99,11 @@
 
 // follow keeps a session with an agent until c ends.
 func (t *term) follow(c context.Context, m *member) {
+	select {
+	case <-c.Done():
+		return
+	case <-t.ready:
+	}
 	for c.Err() == nil {
 		if err := t.session(c, m); err != nil && c.Err() == nil {
 			t.log.WithError(err).WithField("agent", m.addr).Info("agent_lost")
@@ -261,9 +266,7 @@
 func (t *term) hearRun(m *member, k graph.Task, v wire.RunState) {
 	j := t.jobs[k.Job]
 	if j == nil {
-		if t.restored {
-			t.estrange(m, k, v, graph.Size{})
-		}
+		t.estrange(m, k, v, graph.Size{})
 		return
 	}
 	if k.Step >= len(j.Steps) {
--- a/leader/term.go
+++ b/leader/term.go
@@ -87,7 +87,13 @@
 	mu       sync.Mutex
 	listed   bool
 	restored bool
-	jobs     map[string]*job
+	// ready is closed once restored is set: no agent is heard before, since
+	// its word on a job that is not known yet would be lost.
+	ready chan struct{}
+	jobs  map[string]*job
+	// cancels are the cancelled jobs; the listing may show a cancellation
+	// before its job.
+	cancels  map[string]bool
 	members  map[string]*member
 	sessions uint64
 	ctx      context.Context //nolint:containedctx // the term's own life
@@ -102,7 +108,9 @@
 		began:   time.Now(),
 		wake:    make(chan struct{}, 1),
 		save:    make(chan struct{}, 1),
+		ready:   make(chan struct{}),
 		jobs:    map[string]*job{},
+		cancels: map[string]bool{},
 		members: map[string]*member{},
 	}
 }
@@ -184,6 +192,7 @@
 		j.shown = p.State
 	}
 	t.restored = true
+	close(t.ready)
 	t.log.WithFields(logrus.Fields{
 		"jobs":   len(t.jobs),
 		"agents": len(t.members),
@@ -198,8 +207,8 @@
 	if id, ok := idOf(i.Key, jobsPrefix); ok {
 		t.applyJob(id, i)
 	}
-	if id, ok := idOf(i.Key, cancelsPrefix); ok && !i.Deleted {
-		t.applyCancel(id)
+	if id, ok := idOf(i.Key, cancelsPrefix); ok {
+		t.applyCancel(id, i)
 	}
 	if a, ok := idOf(i.Key, agentsPrefix); ok {
 		t.applyAgent(a, i)
@@ -228,11 +237,18 @@
 		runs:     map[graph.Task]*run{},
 		shown:    graph.Queued,
 		again:    map[graph.Task]time.Time{},
+
+		cancelled: t.cancels[id],
 	}
 	t.log.WithFields(logrus.Fields{"job": id, "queue": v.Queue, "revision": i.Revision}).Info("job_known")
 }
 
-func (t *term) applyCancel(id string) {
+func (t *term) applyCancel(id string, i store.Item) {
+	if i.Deleted {
+		delete(t.cancels, id)
+		return
+	}
+	t.cancels[id] = true
 	j := t.jobs[id]
 	if j == nil || j.cancelled {
 		return
