--- a/intake/intake.go
+++ b/intake/intake.go
@@ -27,6 +27,7 @@
 	"hemlockhinge/graph"
 	"hemlockhinge/leader"
 	"hemlockhinge/mirror"
+	"hemlockhinge/pause"
 	"hemlockhinge/policy"
 	"hemlockhinge/store"
 	"hemlockhinge/wire"
@@ -119,6 +120,7 @@
 	config    *policy.Config
 	out       map[string]bool
 	confirmed time.Time
+	reached   bool
 	confirm   sync.Mutex
 }
 
@@ -209,14 +211,33 @@
 	switch {
 	case d.config == nil:
 		return fmt.Errorf("no configuration yet")
-	case time.Since(d.confirmed) > d.s.MaxAge && time.Since(d.confirmed) > readyAge:
+	case time.Since(d.confirmed) > readyAge:
 		return fmt.Errorf("configuration last confirmed %s ago", time.Since(d.confirmed).Round(time.Millisecond))
 	}
 	return nil
 }
 
-// readyAge is how long an idle process stays ready without a confirmation.
-const readyAge = 20 * time.Second
+// readyAge is the age of the last confirmation up to which a process is ready:
+// beyond it callers are better served by another.
+const readyAge = 2 * time.Second
+
+// ConfirmLoop confirms the configuration whenever no caller's request has done
+// so, until c ends.
+func (d *Intake) ConfirmLoop(c context.Context) {
+	for pause.For(c, ConfirmAge) {
+		if _, ok := d.fresh(ConfirmAge); ok {
+			continue
+		}
+		err := d.ask(c)
+		d.mu.Lock()
+		changed := (err == nil) != d.reached
+		d.reached = err == nil
+		d.mu.Unlock()
+		if changed {
+			d.p.Log.WithError(err).WithField("reached", err == nil).Info("store_reach_changed")
+		}
+	}
+}
 
 func (d *Intake) fresh(age time.Duration) (*policy.Config, bool) {
 	d.mu.Lock()
@@ -238,7 +259,7 @@
 	case v == nil:
 		return nil, later("there is no configuration yet")
 	}
-	d.p.Log.WithError(err).Warn("configuration_unconfirmed")
+	d.p.Log.WithError(err).Debug("configuration_unconfirmed")
 	return nil, later("the configuration could not be confirmed")
 }
 
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -74,6 +74,10 @@
 	return err
 }
 
+// refusedPatience is how long a write is tried again that the store refuses:
+// longer than a burst beyond its rates, shorter than an outage.
+const refusedPatience = 300 * time.Millisecond
+
 func outcome(err error) string {
 	var e *Error
 	switch {
@@ -108,6 +112,9 @@
 		if done {
 			return err
 		}
+		if !w.doubt && time.Since(begun) > refusedPatience {
+			return w.undecided()
+		}
 		if !pause.For(c, retryPause) {
 			return w.undecided()
 		}
--- a/leader/member.go
+++ b/leader/member.go
@@ -37,6 +37,8 @@
 	addr   string
 	cancel context.CancelFunc
 	redial chan struct{}
+	// lost means that the loss of the agent is logged already.
+	lost bool
 
 	peer  *wire.Peer
 	seq   uint64
@@ -105,7 +107,8 @@
 	case <-t.ready:
 	}
 	for c.Err() == nil {
-		if err := t.session(c, m); err != nil && c.Err() == nil {
+		if err := t.session(c, m); err != nil && c.Err() == nil && !m.lost {
+			m.lost = true
 			t.log.WithError(err).WithField("agent", m.addr).Info("agent_lost")
 		}
 		select {
@@ -166,6 +169,7 @@
 }
 
 func (t *term) open(m *member, p *wire.Peer, s *wire.Standing, asked time.Time) {
+	m.lost = false
 	t.mu.Lock()
 	m.peer = p
 	m.seq = 0
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -52,6 +52,9 @@
 // Ports of a runner.
 type Ports struct {
 	Worker Worker
+	// Presence, if set, is told whether the worker is there: true with each
+	// life of it, false when it has left.
+	Presence func(there bool)
 	Log    *logrus.Entry
 	Wall   func() time.Time
 }
@@ -130,6 +133,9 @@
 	old := r.facts
 	r.facts = f
 	r.beat = seq
+	if r.p.Presence != nil && (f.Born != old.Born || f.ID != old.ID) {
+		r.p.Presence(true)
+	}
 	if f.Born != old.Born || f.ID != old.ID || f.Leaving != old.Leaving {
 		r.p.Log.WithFields(logrus.Fields{
 			"worker":  f.ID,
@@ -157,6 +163,9 @@
 	r.facts.Gone = true
 	r.facts.Leaving = true
 	r.ledger.Live(-r.facts.Born)
+	if r.p.Presence != nil {
+		r.p.Presence(false)
+	}
 	r.p.Log.WithField("worker", id).Info("worker_left")
 	r.changed()
 }
