Preempt for urgent jobs, claims first

Change: alloc.Decide stops the groups whose loss is least for an urgent unit, and keeps the room for it; claims within a guarantee come first and may also stop borrowed urgent work.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -6,7 +6,8 @@
 //
 // # Usage
 //
-//	for _, p := range alloc.Decide(workers, units) { ... }
+//	d := alloc.Decide(workers, groups, units)
+//	for _, p := range d.Start { ... }
 package alloc
 
 import (
@@ -25,6 +26,8 @@
 	Labels  []string
 	Total   graph.Size
 	Free    graph.Size
+	// Coming is what groups that are being stopped will leave.
+	Coming graph.Size
 	// Closed workers take no new task.
 	Closed bool
 	// Doubt is higher for workers whose last tasks went badly.
@@ -43,6 +46,10 @@
 	// Held is how many tasks of the same step and occurrence each worker
 	// already runs, by the worker's index. Units of one step share it.
 	Held map[int]int
+	// Urgent units may have others stopped; Claim ones are within what their
+	// customer is guaranteed.
+	Urgent bool
+	Claim  bool
 	// Spread allows a gang that belongs into one rack to be spread.
 	Spread bool
 }
@@ -53,28 +60,56 @@
 	At   []int
 }
 
-// Decide places units in the order of their rank. Free of the workers is
-// reduced by what is placed.
-func Decide(w []Worker, u []Unit) []Placement {
+// Decision is what is to start, and which groups, by their index, are to stop so
+// that more urgent units can start.
+type Decision struct {
+	Start []Placement
+	Stop  []int
+}
+
+// Decide places units in the order of their rank. An urgent unit that finds no
+// room has groups stopped, and the room that it will take is kept from the units
+// after it. Free of the workers is reduced by what is placed or kept.
+func Decide(w []Worker, g []Group, u []Unit) Decision {
 	slices.SortStableFunc(u, func(a, b Unit) int { return cmp.Compare(a.Rank, b.Rank) })
-	var out []Placement
+	var d Decision
 	for i := range u {
 		at, ok := place(w, &u[i])
+		if ok {
+			take(w, &u[i], at)
+			d.Start = append(d.Start, Placement{
+				Unit: &u[i],
+				At:   at,
+			})
+			continue
+		}
+		if !u[i].Urgent {
+			continue
+		}
+		p, ok := makeRoom(w, g, &u[i])
 		if !ok {
 			continue
 		}
-		for _, k := range at {
-			w[k].Free = w[k].Free.Sub(u[i].Step.Size)
-			if u[i].Held != nil {
-				u[i].Held[k]++
+		for _, k := range p.evict {
+			d.Stop = append(d.Stop, k)
+			g[k].Stopping = true
+			for n, z := range g[k].Parts {
+				w[n].Coming = w[n].Coming.Add(z)
 			}
 		}
-		out = append(out, Placement{
-			Unit: &u[i],
-			At:   at,
-		})
+		take(w, &u[i], p.at)
+	}
+	return d
+}
+
+// take reduces the free room of workers by a unit's tasks.
+func take(w []Worker, u *Unit, at []int) {
+	for _, k := range at {
+		w[k].Free = w[k].Free.Sub(u.Step.Size)
+		if u.Held != nil {
+			u.Held[k]++
+		}
 	}
-	return out
 }
 
 // place finds workers for all tasks of a unit.
--- a/leader/member.go
+++ b/leader/member.go
@@ -300,10 +300,11 @@
 		t.estrange(m, k, v, z)
 		return
 	}
-	r.saved = v.Saved
-	if v.Percent != r.percent {
-		r.percent = v.Percent
+	if r.saved != v.Saved {
+		r.saved = v.Saved
+		r.savedAt = time.Now()
 	}
+	r.percent = v.Percent
 	if r.doubt && !v.Uncertain {
 		r.doubt = false
 		r.phase = running
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -42,9 +42,16 @@
 		}
 	}
 	t.halts(now)
+	t.markClaims()
 	w, at := t.workers(now)
-	u := t.units(now, at)
-	for _, p := range alloc.Decide(w, u) {
+	g, runs := t.groups(w, at, now)
+	d := alloc.Decide(w, g, t.units(now, at))
+	for _, k := range d.Stop {
+		for _, r := range runs[k] {
+			t.evict(r, now)
+		}
+	}
+	for _, p := range d.Start {
 		t.place(p, at, now)
 	}
 }
@@ -132,7 +139,9 @@
 		Job:     j.ID,
 		Service: q.Service,
 		Step:    s,
-		Rank:    rank(j, q),
+		Rank:    t.rank(j, q),
+		Urgent:  q.Priority == 0,
+		Claim:   j.claim,
 		Spread:  now.Sub(j.arrived) > time.Duration(spreadWait*float64(s.Estimate)),
 	}
 	var tasks []graph.Task
@@ -183,14 +192,6 @@
 	return n
 }
 
-// classWeight sets the classes apart in a rank, in seconds of age.
-const classWeight = 1e6
-
-// rank orders the units of jobs: by the class of their queue, then by age.
-func rank(j *job, q *policy.Queue) float64 {
-	return classWeight*float64(q.Priority) + float64(j.revision)
-}
-
 // place starts a unit where alloc has placed it.
 func (t *term) place(p alloc.Placement, at []*member, now time.Time) {
 	j := t.jobs[p.Unit.Job]
@@ -295,7 +296,7 @@
 func (t *term) halts(now time.Time) {
 	for _, j := range t.jobs {
 		for k, r := range j.runs {
-			if !j.live() || (j.Steps[k.Step].Gang && !j.whole(k)) {
+			if r.halting || !j.live() || (j.Steps[k.Step].Gang && !j.whole(k)) {
 				t.halt(r, now)
 			}
 		}
@@ -325,6 +326,20 @@
 	return true
 }
 
+// evict stops a run so that a more urgent one can start.
+func (t *term) evict(r *run, now time.Time) {
+	j := t.jobs[r.task.Job]
+	j.evicted++
+	r.halting = true
+	t.log.WithFields(logrus.Fields{
+		"task":    r.task.String(),
+		"attempt": r.attempt,
+		"agent":   r.at.addr,
+		"ran":     now.Sub(r.begun).Milliseconds(),
+	}).Info("run_evicted")
+	t.halt(r, now)
+}
+
 func (t *term) halt(r *run, now time.Time) {
 	if r.phase != running || r.at.peer == nil || now.Sub(r.haltedAt) < haltInterval {
 		return
--- a/leader/term.go
+++ b/leader/term.go
@@ -39,6 +39,9 @@
 	shown   graph.State
 	// urgent means that a caller waits for the store to have the change.
 	urgent bool
+	// claim means that the job is within what its customer is guaranteed.
+	claim   bool
+	evicted int
 	// again is when a step whose start was refused may be tried again.
 	again map[graph.Task]time.Time
 	// bumped are the tasks that this term has started before.
@@ -69,6 +72,7 @@
 	seq      uint64
 	begun    time.Time
 	saved    string
+	savedAt  time.Time
 	percent  int
 	halting  bool
 	haltedAt time.Time
