--- a/alloc/preempt.go
+++ b/alloc/preempt.go
@@ -114,7 +114,7 @@
 			may = append(may, i)
 		}
 	}
-	slices.SortFunc(may, func(a, b int) int { return cmp.Compare(g[a].Cost, g[b].Cost) })
+	slices.SortFunc(may, func(a, b int) int { return cmp.Compare(g[a].price(), g[b].price()) })
 	for _, i := range may {
 		if free.Fits(u.Step.Size) {
 			break
@@ -133,7 +133,19 @@
 		}
 	}
 	for _, i := range list {
-		cost += g[i].Cost
+		cost += g[i].price()
 	}
 	return list, cost, true
 }
+
+// urgentPrice is added for an urgent group: it is stopped only where no other
+// way makes room.
+const urgentPrice = 1e9
+
+// price is what a group's stop costs in the choice among groups.
+func (g *Group) price() float64 {
+	if g.Urgent {
+		return g.Cost + urgentPrice
+	}
+	return g.Cost
+}
--- a/leader/flush.go
+++ b/leader/flush.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"hemlockhinge/pause"
@@ -26,6 +27,10 @@
 		for c.Err() == nil {
 			err := t.flush(c)
 			if err == nil {
+				if t.unsaved {
+					t.log.Info("store_regained")
+				}
+				t.unsaved = false
 				break
 			}
 			var lost *store.TxnConflictError
@@ -34,7 +39,10 @@
 				t.end()
 				return
 			}
-			t.log.WithError(err).Warn("flush_failed")
+			if !t.unsaved {
+				t.log.WithError(err).Warn("store_lost")
+			}
+			t.unsaved = true
 			pause.For(c, flushPause)
 		}
 	}
@@ -110,10 +118,31 @@
 			v.job.urgent = false
 		}
 		if v.job.shown.Final() {
-			t.log.WithField("job", v.job.ID).WithField("state", v.job.shown).Info("job_ended")
+			t.logEnd(v.job)
 		}
 	}
 	for _, m := range t.members {
 		m.noteEnds()
 	}
 }
+
+// logEnd writes the line of a job's end, with what its time went into.
+func (t *term) logEnd(j *job) {
+	f := logrus.Fields{
+		"job":      j.ID,
+		"state":    j.shown,
+		"queue":    j.Queue,
+		"customer": j.Customer,
+		"ms":       time.Since(j.arrived).Milliseconds(),
+		"first_ms": j.firstStart.Milliseconds(),
+		"tasks":    len(j.prog.Tasks),
+		"starts":   j.starts,
+		"evicted":  j.evicted,
+		"claim":    j.claim,
+	}
+	if q := t.queue(j); q != nil {
+		f["class"] = q.Priority
+		f["objective_ms"] = objective(j.Job, q).Milliseconds()
+	}
+	t.log.WithFields(f).Info("job_ended")
+}
--- a/leader/member.go
+++ b/leader/member.go
@@ -361,6 +361,9 @@
 		delete(j.runs, e.Task)
 		delete(r.at.runs, e.Task)
 		m.judge.end(e, time.Now())
+		if e.How == graph.Done && r.saved == "" {
+			t.learn(j, time.Since(r.begun))
+		}
 	}
 	attempts := j.MaxAttempts
 	if q := t.queue(j); q != nil {
--- a/leader/order.go
+++ b/leader/order.go
@@ -33,6 +33,23 @@
 	return r
 }
 
+// objective is how long a job may take to be in time, by its estimates.
+func objective(j *graph.Job, q *policy.Queue) time.Duration {
+	return time.Duration(q.Slack*float64(j.Chain())) + q.Target
+}
+
+// learnWeight is the weight of the newest run time in the mean.
+const learnWeight = 0.2
+
+// learn takes the time of a run that is done into its queue's mean.
+func (t *term) learn(j *job, d time.Duration) {
+	m := t.learnt[j.Queue]
+	if m == 0 {
+		m = d
+	}
+	t.learnt[j.Queue] = m + time.Duration(learnWeight*float64(d-m))
+}
+
 // accelerators returns the most that one step of an occurrence takes at a time.
 func accelerators(j *graph.Job) int {
 	n := 0
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -248,6 +248,10 @@
 		Size:    r.size,
 	}
 	p := r.at.peer
+	if j.starts == 0 {
+		j.firstStart = time.Since(j.arrived)
+	}
+	j.starts++
 	t.log.WithFields(logrus.Fields{
 		"task":    m.Task,
 		"attempt": r.attempt,
@@ -296,6 +300,9 @@
 func (t *term) halts(now time.Time) {
 	for _, j := range t.jobs {
 		for k, r := range j.runs {
+			if j.prog.Of(j.Job, k).Done {
+				continue
+			}
 			if r.halting || !j.live() || (j.Steps[k.Step].Gang && !j.whole(k)) {
 				t.halt(r, now)
 			}
--- a/leader/term.go
+++ b/leader/term.go
@@ -28,11 +28,14 @@
 // job is a job as the scheduler knows it.
 type job struct {
 	*graph.Job
-	prog      *graph.Progress
-	revision  uint64
-	cancelled bool
-	arrived   time.Time
-	runs      map[graph.Task]*run
+	prog *graph.Progress
+	// firstStart is how long the job waited for its first start here.
+	firstStart time.Duration
+	starts     int
+	revision   uint64
+	cancelled  bool
+	arrived    time.Time
+	runs       map[graph.Task]*run
 	// version counts changes of prog, and stored is the version in the store.
 	version uint64
 	stored  uint64
@@ -87,6 +90,8 @@
 	wake  chan struct{}
 	save  chan struct{}
 	end   context.CancelFunc
+	// unsaved means that the store's loss is logged already.
+	unsaved bool
 
 	mu       sync.Mutex
 	listed   bool
@@ -100,8 +105,10 @@
 	cancels  map[string]bool
 	members  map[string]*member
 	sessions uint64
-	ctx      context.Context //nolint:containedctx // the term's own life
-	group    sync.WaitGroup
+	// learnt are the mean times of runs by queue.
+	learnt map[string]time.Duration
+	ctx    context.Context //nolint:containedctx // the term's own life
+	group  sync.WaitGroup
 }
 
 func newTerm(l *Leader, g grip) *term {
@@ -115,6 +122,7 @@
 		ready:   make(chan struct{}),
 		jobs:    map[string]*job{},
 		cancels: map[string]bool{},
+		learnt:  map[string]time.Duration{},
 		members: map[string]*member{},
 	}
 }
