Relay store calls through another entry

Ruled out: refusing at once, since a write without an answer may still take effect and 503 would be untrue.

--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -54,52 +54,58 @@
 	KindJobState
 	KindAskPending
 	KindPending
+	KindStoreGet
+	KindStoreCommit
+	KindStoreAnswer
 )
 
 var makers = [...]func() Message{
-	KindAck:        func() Message { return &Ack{} },
-	KindRefusal:    func() Message { return &Refusal{} },
-	KindUnknown:    func() Message { return &Unknown{} },
-	KindOpen:       func() Message { return &Open{} },
-	KindAnnounce:   func() Message { return &Announce{} },
-	KindWelcome:    func() Message { return &Welcome{} },
-	KindBeat:       func() Message { return &Beat{} },
-	KindPolicy:     func() Message { return &Policy{} },
-	KindReserve:    func() Message { return &Reserve{} },
-	KindGranted:    func() Message { return &Granted{} },
-	KindDrop:       func() Message { return &Drop{} },
-	KindPrepare:    func() Message { return &Prepare{} },
-	KindJoin:       func() Message { return &Join{} },
-	KindRelease:    func() Message { return &Release{} },
-	KindRenew:      func() Message { return &Renew{} },
-	KindMember:     func() Message { return &Member{} },
-	KindStop:       func() Message { return &Stop{} },
-	KindQuery:      func() Message { return &Query{} },
-	KindReport:     func() Message { return &Report{} },
-	KindHead:       func() Message { return &Head{} },
-	KindVerdict:    func() Message { return &Verdict{} },
-	KindResponse:   func() Message { return &Response{} },
-	KindChunk:      func() Message { return &Chunk{} },
-	KindEnd:        func() Message { return &End{} },
-	KindAbort:      func() Message { return &Abort{} },
-	KindHeard:      func() Message { return &Heard{} },
-	KindAges:       func() Message { return &Ages{} },
-	KindSave:       func() Message { return &Save{} },
-	KindSync:       func() Message { return &Sync{} },
-	KindObjects:    func() Message { return &Objects{} },
-	KindJoined:     func() Message { return &Joined{} },
-	KindLead:       func() Message { return &Lead{} },
-	KindStanding:   func() Message { return &Standing{} },
-	KindPing:       func() Message { return &Ping{} },
-	KindPong:       func() Message { return &Pong{} },
-	KindLaunch:     func() Message { return &Launch{} },
-	KindLaunched:   func() Message { return &Launched{} },
-	KindHalt:       func() Message { return &Halt{} },
-	KindNoted:      func() Message { return &Noted{} },
-	KindAskState:   func() Message { return &AskState{} },
-	KindJobState:   func() Message { return &JobState{} },
-	KindAskPending: func() Message { return &AskPending{} },
-	KindPending:    func() Message { return &Pending{} },
+	KindAck:         func() Message { return &Ack{} },
+	KindRefusal:     func() Message { return &Refusal{} },
+	KindUnknown:     func() Message { return &Unknown{} },
+	KindOpen:        func() Message { return &Open{} },
+	KindAnnounce:    func() Message { return &Announce{} },
+	KindWelcome:     func() Message { return &Welcome{} },
+	KindBeat:        func() Message { return &Beat{} },
+	KindPolicy:      func() Message { return &Policy{} },
+	KindReserve:     func() Message { return &Reserve{} },
+	KindGranted:     func() Message { return &Granted{} },
+	KindDrop:        func() Message { return &Drop{} },
+	KindPrepare:     func() Message { return &Prepare{} },
+	KindJoin:        func() Message { return &Join{} },
+	KindRelease:     func() Message { return &Release{} },
+	KindRenew:       func() Message { return &Renew{} },
+	KindMember:      func() Message { return &Member{} },
+	KindStop:        func() Message { return &Stop{} },
+	KindQuery:       func() Message { return &Query{} },
+	KindReport:      func() Message { return &Report{} },
+	KindHead:        func() Message { return &Head{} },
+	KindVerdict:     func() Message { return &Verdict{} },
+	KindResponse:    func() Message { return &Response{} },
+	KindChunk:       func() Message { return &Chunk{} },
+	KindEnd:         func() Message { return &End{} },
+	KindAbort:       func() Message { return &Abort{} },
+	KindHeard:       func() Message { return &Heard{} },
+	KindAges:        func() Message { return &Ages{} },
+	KindSave:        func() Message { return &Save{} },
+	KindSync:        func() Message { return &Sync{} },
+	KindObjects:     func() Message { return &Objects{} },
+	KindJoined:      func() Message { return &Joined{} },
+	KindLead:        func() Message { return &Lead{} },
+	KindStanding:    func() Message { return &Standing{} },
+	KindPing:        func() Message { return &Ping{} },
+	KindPong:        func() Message { return &Pong{} },
+	KindLaunch:      func() Message { return &Launch{} },
+	KindLaunched:    func() Message { return &Launched{} },
+	KindHalt:        func() Message { return &Halt{} },
+	KindNoted:       func() Message { return &Noted{} },
+	KindAskState:    func() Message { return &AskState{} },
+	KindJobState:    func() Message { return &JobState{} },
+	KindAskPending:  func() Message { return &AskPending{} },
+	KindPending:     func() Message { return &Pending{} },
+	KindStoreGet:    func() Message { return &StoreGet{} },
+	KindStoreCommit: func() Message { return &StoreCommit{} },
+	KindStoreAnswer: func() Message { return &StoreAnswer{} },
 }
 
 // Message is the body of a frame.
@@ -235,3 +241,12 @@
 
 // Kind implements Message.
 func (*Pending) Kind() Kind { return KindPending }
+
+// Kind implements Message.
+func (*StoreGet) Kind() Kind { return KindStoreGet }
+
+// Kind implements Message.
+func (*StoreCommit) Kind() Kind { return KindStoreCommit }
+
+// Kind implements Message.
+func (*StoreAnswer) Kind() Kind { return KindStoreAnswer }
