Bound what a wide urgent step may stop to one wave

Cause: a step of many single tasks with 8 accelerators each stopped 25 and more tasks at once; evictions were half of the work thrown away.

Change: beyond a quarter of the service's room, rounded up, such tasks wait for free room; claims are exempt. Evictions are logged with whom they are for.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -50,6 +50,8 @@
 	// customer is guaranteed.
 	Urgent bool
 	Claim  bool
+	// Waits is set for urgent units that are to start only in free room.
+	Waits bool
 	// Spread allows a gang that belongs into one rack to be spread.
 	Spread bool
 }
@@ -60,11 +62,16 @@
 	At   []int
 }
 
-// Decision is what is to start, and which groups, by their index, are to stop so
-// that more urgent units can start.
+// Eviction stops a group, given by its index, so that a unit can start.
+type Eviction struct {
+	Group int
+	For   *Unit
+}
+
+// Decision is what is to start, and what is to stop for more urgent units.
 type Decision struct {
 	Start []Placement
-	Stop  []int
+	Stop  []Eviction
 }
 
 // Decide places units in the order of their rank. An urgent unit that finds no
@@ -83,7 +90,7 @@
 			})
 			continue
 		}
-		if !u[i].Urgent {
+		if !u[i].Urgent || u[i].Waits {
 			continue
 		}
 		p, ok := makeRoom(w, g, &u[i])
@@ -91,7 +98,10 @@
 			continue
 		}
 		for _, k := range p.evict {
-			d.Stop = append(d.Stop, k)
+			d.Stop = append(d.Stop, Eviction{
+				Group: k,
+				For:   &u[i],
+			})
 			g[k].Stopping = true
 			for n, z := range g[k].Parts {
 				w[n].Coming = w[n].Coming.Add(z)
--- a/leader/order.go
+++ b/leader/order.go
@@ -144,6 +144,10 @@
 	if s.Checkpoints {
 		lost = restoreTime
 	}
-	cores := float64(r.size.MilliCPU)/milliCores + acceleratorCores*float64(r.size.Accelerators)
-	return lost * cores * (1 + evictionCost*float64(j.evicted))
+	return lost * weight(r.size) * (1 + evictionCost*float64(j.evicted))
+}
+
+// weight is what a size counts, in cores.
+func weight(z graph.Size) float64 {
+	return float64(z.MilliCPU)/milliCores + acceleratorCores*float64(z.Accelerators)
 }
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -45,10 +47,10 @@
 	t.markClaims()
 	w, at := t.workers(now)
 	g, runs := t.groups(w, at, now)
-	d := alloc.Decide(w, g, t.units(now, at))
-	for _, k := range d.Stop {
-		for _, r := range runs[k] {
-			t.evict(r, now)
+	d := alloc.Decide(w, g, t.units(now, at, total(w)))
+	for _, e := range d.Stop {
+		for _, r := range runs[e.Group] {
+			t.evict(r, e.For, now)
 		}
 	}
 	for _, p := range d.Start {
@@ -108,7 +110,7 @@
 }
 
 // units returns all that may start now.
-func (t *term) units(now time.Time, at []*member) []alloc.Unit {
+func (t *term) units(now time.Time, at []*member, room map[string]graph.Size) []alloc.Unit {
 	open := t.unaccounted()
 	wall := t.wall(now)
 	var u []alloc.Unit
@@ -125,7 +127,7 @@
 				break
 			}
 			for s := range j.Steps {
-				u = append(u, t.stepUnits(j, q, k, s, now, at)...)
+				u = append(u, t.stepUnits(j, q, k, s, now, at, room[q.Service])...)
 			}
 		}
 	}
@@ -133,7 +135,7 @@
 }
 
 // stepUnits returns what may start now of one step.
-func (t *term) stepUnits(j *job, q *policy.Queue, occurrence, step int, now time.Time, at []*member) []alloc.Unit {
+func (t *term) stepUnits(j *job, q *policy.Queue, occurrence, step int, now time.Time, at []*member, room graph.Size) []alloc.Unit {
 	s := &j.Steps[step]
 	v := alloc.Unit{
 		Job:     j.ID,
@@ -174,13 +176,41 @@
 		return []alloc.Unit{v}
 	}
 	var u []alloc.Unit
-	for _, k := range tasks {
+	most := waveOf(room, s.Size)
+	for i, k := range tasks {
 		v.Tasks = []graph.Task{k}
+		v.Waits = !j.claim && busy+i >= most
 		u = append(u, v)
 	}
 	return u
 }
 
+// waveShare is the part of a service's whole room that a step's tasks take by
+// stopping others: a wider step is expected to run in waves.
+const waveShare = 0.25
+
+// waveOf returns how many tasks of a size make a wave.
+func waveOf(room, z graph.Size) int {
+	n := math.MaxInt
+	for _, v := range [][2]int{{room.MilliCPU, z.MilliCPU}, {room.MemoryMiB, z.MemoryMiB}, {room.Accelerators, z.Accelerators}} {
+		if v[1] > 0 {
+			n = min(n, int(math.Ceil(waveShare*float64(v[0])/float64(v[1]))))
+		}
+	}
+	return max(n, 1)
+}
+
+// total returns the whole room of each service.
+func total(w []alloc.Worker) map[string]graph.Size {
+	n := map[string]graph.Size{}
+	for _, v := range w {
+		if !v.Closed {
+			n[v.Service] = n[v.Service].Add(v.Total)
+		}
+	}
+	return n
+}
+
 // held counts the runs of a step at each member.
 func (j *job) held(occurrence, step int, at []*member) map[int]int {
 	n := map[int]int{}
@@ -260,6 +290,7 @@
 		"queue":   j.Queue,
 		"waited":  time.Since(j.arrived).Milliseconds(),
 		"resumes": m.Saved != "",
+		"weight":  weight(r.size),
 	}).Info("run_ordered")
 	t.group.Go(func() {
 		v, err := wire.CallFor[*wire.Launched](t.ctx, p, m, launchTimeout)
@@ -334,7 +365,7 @@
 }
 
 // evict stops a run so that a more urgent one can start.
-func (t *term) evict(r *run, now time.Time) {
+func (t *term) evict(r *run, u *alloc.Unit, now time.Time) {
 	j := t.jobs[r.task.Job]
 	j.evicted++
 	r.halting = true
@@ -342,7 +373,11 @@
 		"task":    r.task.String(),
 		"attempt": r.attempt,
 		"agent":   r.at.addr,
-		"ran":     now.Sub(r.begun).Milliseconds(),
+		"ran_ms":  now.Sub(r.begun).Milliseconds(),
+		"weight":  weight(r.size),
+		"for":     u.Job,
+		"needs":   fmt.Sprintf("%dx%v", len(u.Tasks), u.Step.Size),
+		"claim":   u.Claim,
 	}).Info("run_evicted")
 	t.halt(r, now)
 }
