Condition each record of progress on its own revision

The condition on the role alone held for both writes.

Ruled out: an end acknowledged before it was recorded (both are in the log in that order).

--- a/cmd/hemlockhinge/platform.go
+++ b/cmd/hemlockhinge/platform.go
@@ -6,9 +6,8 @@
 	"os"
 	"runtime/debug"
 
-	"github.com/sirupsen/logrus"
-
 	"hemlockhinge/platform"
+	"hemlockhinge/wire"
 )
 
 // memoryShare of a process's memory is the limit that the collector works
@@ -16,7 +15,7 @@
 const memoryShare = 0.7
 
 // onPlatform runs a daemon with the settings that the platform gives.
-func onPlatform(run func(context.Context, <-chan struct{}, *platform.Settings, *logrus.Entry) error) error {
+func onPlatform(run func(context.Context, <-chan struct{}, platform.Ports, *platform.Settings) error) error {
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return exit(exitUsage, err)
@@ -27,5 +26,8 @@
 	g := newLog("info")
 	g.Logger.SetOutput(os.Stdout)
 	c, d := untilSignal()
-	return run(c, d, s, g)
+	return run(c, d, platform.Ports{
+		Net: wire.TCP{},
+		Log: g,
+	}, s)
 }
--- a/intake/query.go
+++ b/intake/query.go
@@ -23,18 +23,21 @@
 	net  wire.Network
 	role *leader.Role
 
-	mu   sync.Mutex
-	addr string
-	peer *wire.Peer
+	group sync.WaitGroup
+	mu    sync.Mutex
+	addr  string
+	peer  *wire.Peer
 }
 
+// close ends the connection and waits for what runs on it.
 func (q *query) close() {
 	q.mu.Lock()
-	defer q.mu.Unlock()
 	if q.peer != nil {
 		q.peer.Close()
 		q.peer = nil
 	}
+	q.mu.Unlock()
+	q.group.Wait()
 }
 
 // connect returns a connection to the last known scheduler.
@@ -62,7 +65,7 @@
 	p := wire.NewPeer(n, wire.HandlerFunc(func(context.Context, *wire.Peer, wire.Message) (wire.Message, error) {
 		return nil, wire.Refuse(wire.CodeUnknown, "this side takes no calls")
 	}))
-	go func() { _ = p.Run(context.Background()) }()
+	q.group.Go(func() { _ = p.Run(context.Background()) })
 	q.peer = p
 	q.addr = addr
 	return p, nil
--- a/leader/election.go
+++ b/leader/election.go
@@ -115,25 +115,29 @@
 		If:  []store.Expect{{Key: roleKey}},
 		Put: []store.Write{{Key: roleKey, Value: b, Lease: l}},
 	})
-	var lost *store.TxnConflictError
-	if errors.As(err, &lost) {
-		return grip{}, false, nil
+	if err != nil {
+		r.log.WithError(err).Info("role_not_taken")
+	}
+	g := grip{
+		lease: l,
 	}
 	// The answer may be lost: the key says whether the role was taken.
 	i, err := r.store.Get(c, roleKey)
-	if err != nil {
-		return grip{}, false, err
+	if err == nil && r.owns(i, h.Nonce) {
+		g.epoch = i.Revision
+		return g, true, nil
 	}
+	// A try that takes effect later must not keep the role from others.
+	r.leave(c, g)
+	return g, false, err
+}
+
+// owns notes who holds the role and reports whether it is this try.
+func (r *Role) owns(i store.Item, nonce string) bool {
 	r.see(i)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.holder.Nonce != h.Nonce {
-		return grip{}, false, nil
-	}
-	return grip{
-		epoch: i.Revision,
-		lease: l,
-	}, true, nil
+	return r.holder.Nonce == nonce
 }
 
 // keep renews the role until it has lapsed or c ends. A store that does not
--- a/leader/flush.go
+++ b/leader/flush.go
@@ -50,11 +50,16 @@
 
 // change is one job's progress that is being recorded.
 type change struct {
-	job     *job
-	version uint64
-	value   []byte
+	job      *job
+	version  uint64
+	revision uint64
+	value    []byte
 }
 
+// maxChanges is how many changes fit into one transaction: each takes a
+// condition and a write, beside the condition on the role.
+const maxChanges = (store.MaxTxn - 1) / 2
+
 // flush records all changes that are not in the store yet, and lets the workers
 // forget the ends among them.
 func (t *term) flush(c context.Context) error {
@@ -66,33 +71,67 @@
 			return err
 		}
 		if len(l) > 0 {
-			x := store.Txn{
-				If: []store.Expect{{Key: roleKey, Revision: t.grip.epoch}},
-			}
-			for _, v := range l {
-				x.Put = append(x.Put, store.Write{
-					Key:   ProgressKey(v.job.ID),
-					Value: v.value,
-				})
+			rev, err := t.l.p.Store.Commit(c, t.transaction(l))
+			var lost *store.TxnConflictError
+			if errors.As(err, &lost) && t.catchUp(lost, l) {
+				continue
 			}
-			if _, err := t.l.p.Store.Commit(c, x); err != nil {
+			if err != nil {
 				return err
 			}
+			t.recorded(l, rev)
+		} else {
+			t.recorded(nil, 0)
 		}
-		t.recorded(l)
-		if len(l) < store.MaxTxn-1 {
+		if len(l) < maxChanges {
 			return nil
 		}
 	}
 }
 
+// transaction writes changes under the conditions that the role still stands,
+// and that no other write of them has taken effect: one that was not answered
+// may do so seconds later, and must not undo a later one.
+func (t *term) transaction(l []change) store.Txn {
+	x := store.Txn{
+		If: []store.Expect{{Key: roleKey, Revision: t.grip.epoch}},
+	}
+	for _, v := range l {
+		k := ProgressKey(v.job.ID)
+		x.If = append(x.If, store.Expect{
+			Key:      k,
+			Revision: v.revision,
+		})
+		x.Put = append(x.Put, store.Write{
+			Key:   k,
+			Value: v.value,
+		})
+	}
+	return x
+}
+
+// catchUp takes in the revisions of writes that have taken effect without an
+// answer. It reports whether the role still stands.
+func (t *term) catchUp(f *store.TxnConflictError, l []change) bool {
+	if i, ok := f.Item(roleKey); !ok || i.Revision != t.grip.epoch {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range l {
+		i, _ := f.Item(ProgressKey(v.job.ID))
+		v.job.saved = i.Revision
+	}
+	return true
+}
+
 // changes returns as many changes as fit into one transaction.
 func (t *term) changes() ([]change, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var l []change
 	for _, j := range t.jobs {
-		if j.version == j.stored || len(l) >= store.MaxTxn-1 {
+		if j.version == j.stored || len(l) >= maxChanges {
 			continue
 		}
 		b, err := msgpack.Marshal(j.prog)
@@ -100,19 +139,21 @@
 			return nil, err
 		}
 		l = append(l, change{
-			job:     j,
-			version: j.version,
-			value:   b,
+			job:      j,
+			version:  j.version,
+			revision: j.saved,
+			value:    b,
 		})
 	}
 	return l, nil
 }
 
-func (t *term) recorded(l []change) {
+func (t *term) recorded(l []change, revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, v := range l {
 		v.job.stored = v.version
+		v.job.saved = revision
 		if v.job.version == v.version {
 			v.job.shown = v.job.prog.State
 			v.job.urgent = false
--- a/leader/term.go
+++ b/leader/term.go
@@ -39,7 +39,9 @@
 	// version counts changes of prog, and stored is the version in the store.
 	version uint64
 	stored  uint64
-	shown   graph.State
+	// saved is the revision of the progress in the store, 0 for none.
+	saved uint64
+	shown graph.State
 	// urgent means that a caller waits for the store to have the change.
 	urgent bool
 	// claim means that the job is within what its customer is guaranteed.
@@ -202,6 +204,7 @@
 		p.Restore(j.Job)
 		j.prog = p
 		j.shown = p.State
+		j.saved = i.Revision
 	}
 	t.restored = true
 	close(t.ready)
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -70,7 +70,7 @@
 	p := wire.NewPeer(n, wire.HandlerFunc(func(context.Context, *wire.Peer, wire.Message) (wire.Message, error) {
 		return nil, wire.Refuse(wire.CodeUnknown, "this side takes no calls")
 	}))
-	go func() { _ = p.Run(context.Background()) }()
+	s.group.Go(func() { _ = p.Run(context.Background()) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peer = p
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,6 +51,7 @@
 	net wire.Network
 	log *logrus.Entry
 
+	group  sync.WaitGroup
 	mu     sync.Mutex
 	self   string
 	addrs  []string
@@ -75,7 +76,7 @@
 	s.mu.Lock()
 	s.self = addr
 	s.mu.Unlock()
-	go s.register(c, addr)
+	s.group.Go(func() { s.register(c, addr) })
 	m := mirror.Mirror{
 		Store:  s.Committer,
 		Prefix: peersPrefix,
@@ -83,6 +84,12 @@
 		Log:    s.log,
 	}
 	m.Run(c)
+	s.mu.Lock()
+	if s.peer != nil {
+		s.peer.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
 }
 
 func (s *Store) register(c context.Context, addr string) {
@@ -171,7 +178,7 @@
 	c, cancel := context.WithCancel(c)
 	defer cancel()
 	direct := make(chan answer, 1)
-	go func() { direct <- own(c) }()
+	s.group.Go(func() { direct <- own(c) })
 	wait := hedge
 	if s.distrusted() {
 		wait = 0
@@ -190,7 +197,7 @@
 	case <-t.C:
 	}
 	other := make(chan answer, 1)
-	go func() { other <- s.through(c, m) }()
+	s.group.Go(func() { other <- s.through(c, m) })
 	if first != nil {
 		return merge(*first, <-other)
 	}
