--- a/intake/intake.go
+++ b/intake/intake.go
@@ -121,15 +121,17 @@
 	out       map[string]bool
 	confirmed time.Time
 	reached   bool
-	confirm   sync.Mutex
+	// confirm is full while the configuration is being confirmed.
+	confirm chan struct{}
 }
 
 // New returns an intake; Run must be called.
 func New(p Ports, s Settings) *Intake {
 	return &Intake{
-		p:   p,
-		s:   s,
-		out: map[string]bool{},
+		p:       p,
+		s:       s,
+		out:     map[string]bool{},
+		confirm: make(chan struct{}, 1),
 		q: query{
 			net:  p.Net,
 			role: p.Leader.Role(),
@@ -265,8 +267,12 @@
 
 // ask confirms the configuration by a read that must be current.
 func (d *Intake) ask(c context.Context) error {
-	d.confirm.Lock()
-	defer d.confirm.Unlock()
+	select {
+	case d.confirm <- struct{}{}:
+		defer func() { <-d.confirm }()
+	case <-c.Done():
+		return c.Err()
+	}
 	if _, ok := d.fresh(ConfirmAge); ok {
 		return nil
 	}
--- a/intake/query.go
+++ b/intake/query.go
@@ -43,18 +43,8 @@
 // connect returns a connection to the last known scheduler.
 func (q *query) connect(c context.Context) (*wire.Peer, error) {
 	_, addr := q.role.Holder()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.peer != nil && q.addr == addr {
-		select {
-		case <-q.peer.Done():
-		default:
-			return q.peer, nil
-		}
-	}
-	if q.peer != nil {
-		q.peer.Close()
-		q.peer = nil
+	if p := q.open(addr); p != nil {
+		return p, nil
 	}
 	c, cancel := context.WithTimeout(c, dialTimeout)
 	defer cancel()
@@ -66,11 +56,31 @@
 		return nil, wire.Refuse(wire.CodeUnknown, "this side takes no calls")
 	}))
 	q.group.Go(func() { _ = p.Run(context.Background()) })
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.peer != nil {
+		q.peer.Close()
+	}
 	q.peer = p
 	q.addr = addr
 	return p, nil
 }
 
+// open returns the present connection if it leads to addr and has not ended.
+func (q *query) open(addr string) *wire.Peer {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.peer == nil || q.addr != addr {
+		return nil
+	}
+	select {
+	case <-q.peer.Done():
+		return nil
+	default:
+		return q.peer
+	}
+}
+
 // call asks; a connection that does not answer in time is closed, since it may
 // be silent for good.
 func call[R wire.Message](c context.Context, q *query, m wire.Message) (R, error) {
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -91,8 +91,8 @@
 	if err != nil {
 		return nil, wire.Refuse(wire.CodeUnknown, "%v", err)
 	}
-	r.orders.Lock()
-	defer r.orders.Unlock()
+	r.orders <- struct{}{}
+	defer func() { <-r.orders }()
 	o, err := r.begin(p, t, m)
 	if err != nil {
 		return nil, err
@@ -185,8 +185,8 @@
 	if err != nil {
 		return nil, wire.Refuse(wire.CodeUnknown, "%v", err)
 	}
-	r.orders.Lock()
-	defer r.orders.Unlock()
+	r.orders <- struct{}{}
+	defer func() { <-r.orders }()
 	r.mu.Lock()
 	err = r.obeys(p)
 	o := StopOrder{
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -55,8 +55,8 @@
 	// Presence, if set, is told whether the worker is there: true with each
 	// life of it, false when it has left.
 	Presence func(there bool)
-	Log    *logrus.Entry
-	Wall   func() time.Time
+	Log      *logrus.Entry
+	Wall     func() time.Time
 }
 
 // clock maps the worker's steady clock to the agent's.
@@ -72,9 +72,9 @@
 	p Ports
 	s Settings
 
-	// orders is held while an order is under way, so that at most one start
-	// is unanswered.
-	orders sync.Mutex
+	// orders is full while an order is under way, so that at most one start is
+	// unanswered.
+	orders chan struct{}
 
 	mu      sync.Mutex
 	ledger  fence.Ledger
@@ -99,6 +99,7 @@
 		p:       p,
 		s:       s,
 		contact: time.Now(),
+		orders:  make(chan struct{}, 1),
 		wake:    make(chan struct{}, 1),
 		news:    make(chan struct{}, 1),
 	}
@@ -215,13 +216,13 @@
 }
 
 func (r *Runner) settleIdle(c context.Context) {
-	r.orders.Lock()
-	defer r.orders.Unlock()
+	r.orders <- struct{}{}
+	defer func() { <-r.orders }()
 	r.settle(c)
 }
 
 // settle makes sure that no earlier order can take effect any more: it gets an
-// answer to a call with a token above all before. r.orders is held.
+// answer to a call with a token above all before. r.orders is full.
 func (r *Runner) settle(c context.Context) {
 	r.mu.Lock()
 	r.settled = false
