--- a/leader/pass.go
+++ b/leader/pass.go
@@ -334,7 +334,7 @@
 			if j.prog.Of(j.Job, k).Done {
 				continue
 			}
-			if r.halting || !j.live() || (j.Steps[k.Step].Gang && !j.whole(k)) {
+			if r.halting || !j.live() || (j.Steps[k.Step].Gang && !j.whole(k, now)) {
 				t.halt(r, now)
 			}
 		}
@@ -350,14 +350,16 @@
 	}
 }
 
-// whole reports whether a gang has all its members, or has ended as done.
-func (j *job) whole(k graph.Task) bool {
-	if j.prog.Of(j.Job, k).Done {
-		return true
-	}
+// gangPatience is how long members of a gang wait for the others to be started:
+// less than a worker lets them wait.
+const gangPatience = 1500 * time.Millisecond
+
+// whole reports whether a gang has all its members, or they are being started.
+func (j *job) whole(k graph.Task, now time.Time) bool {
 	for i := range j.Steps[k.Step].Count {
 		k.Index = i
-		if j.runs[k] == nil {
+		r := j.runs[k]
+		if r == nil || (r.phase == launching && now.Sub(r.begun) > gangPatience) {
 			return false
 		}
 	}
