Show a scheduler the loss of its role before any later job

Change: the role's key lies below the prefix that the scheduler watches, so the store's order shows the loss first; after a listing, whose pages are not one moment's, the role is read again before the listing is used.

Ruled out: trusting the lease by the holder's clock, since leases may run out while the store is away.

--- a/leader/keys.go
+++ b/leader/keys.go
@@ -9,11 +9,13 @@
 	"hemlockhinge/graph"
 )
 
-// Keys of the store. Below inputs lies what others write for the scheduler;
-// progress is written by the scheduler alone.
+// Keys of the store. Below inputs lies what others write for the scheduler, and
+// the role itself, so that one watch shows their order: a scheduler hears that
+// it has lost the role before it hears of any job accepted after that. Progress
+// is written by the scheduler alone.
 const (
-	roleKey        = "hemlockhinge/leader"
 	inputsPrefix   = "hemlockhinge/in/"
+	roleKey        = inputsPrefix + "leader"
 	jobsPrefix     = inputsPrefix + "job/"
 	cancelsPrefix  = inputsPrefix + "cancel/"
 	agentsPrefix   = inputsPrefix + "agent/"
--- a/leader/term.go
+++ b/leader/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -95,7 +96,10 @@
 	// unsaved means that the store's loss is logged already.
 	unsaved bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// deposed means that the role is known to be lost: nothing new is taken
+	// in or started.
+	deposed  bool
 	listed   bool
 	restored bool
 	// ready is closed once restored is set: no agent is heard before, since
@@ -139,6 +143,7 @@
 		Store:  t.l.p.Store,
 		Prefix: inputsPrefix,
 		Apply:  t.apply,
+		Read:   t.checkRole,
 		Listed: t.markListed,
 		Log:    t.log,
 	}
@@ -164,7 +169,7 @@
 }
 
 // markListed is called after each complete listing of the inputs.
-func (t *term) markListed(uint64) {
+func (t *term) markListed() {
 	t.mu.Lock()
 	first := !t.listed
 	t.listed = true
@@ -175,6 +180,26 @@
 	t.poke()
 }
 
+// checkRole reads the role after a listing, whose pages are not one moment's: a
+// job in it may have been accepted after the role was lost.
+func (t *term) checkRole() {
+	for {
+		i, err := t.l.p.Store.Get(t.ctx, roleKey)
+		var none *store.NotFoundError
+		if err == nil || errors.As(err, &none) {
+			i.Deleted = err != nil
+			t.mu.Lock()
+			t.applyRole(i)
+			t.mu.Unlock()
+			return
+		}
+		t.log.WithError(err).Warn("role_unchecked")
+		if !pause.For(t.ctx, restorePause) {
+			return
+		}
+	}
+}
+
 // restore reads the progress of all jobs, once.
 func (t *term) restore() {
 	for {
@@ -219,6 +244,10 @@
 func (t *term) apply(i store.Item) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if i.Key == roleKey {
+		t.applyRole(i)
+		return
+	}
 	if id, ok := idOf(i.Key, jobsPrefix); ok {
 		t.applyJob(id, i)
 	}
@@ -231,12 +260,24 @@
 	t.poke()
 }
 
+// applyRole ends the term when the role is not this term's any more.
+func (t *term) applyRole(i store.Item) {
+	if !i.Deleted && i.Revision == t.grip.epoch {
+		return
+	}
+	if !t.deposed {
+		t.log.WithField("revision", i.Revision).Warn("role_lost")
+	}
+	t.deposed = true
+	t.end()
+}
+
 func (t *term) applyJob(id string, i store.Item) {
 	if i.Deleted {
 		delete(t.jobs, id)
 		return
 	}
-	if t.jobs[id] != nil {
+	if t.jobs[id] != nil || t.deposed {
 		return
 	}
 	v, err := DecodeJob(i.Value)
@@ -283,7 +324,7 @@
 		case <-k.C:
 		}
 		t.mu.Lock()
-		if t.restored {
+		if t.restored && !t.deposed {
 			t.pass(time.Now())
 		}
 		t.mu.Unlock()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -27,13 +27,15 @@
 	maxPause   = 500 * time.Millisecond
 )
 
-// Mirror follows the keys below Prefix. Apply gets each change once, in order;
-// Listed, if set, is called after each complete listing.
+// Mirror follows the keys below Prefix. Apply gets each change once, in order.
+// Read, if set, is called when all pages of a listing were read and before any of
+// it is applied; Listed, if set, after it was applied.
 type Mirror struct {
 	Store  store.Port
 	Prefix string
 	Apply  func(store.Item)
-	Listed func(revision uint64)
+	Read   func()
+	Listed func()
 	Log    *logrus.Entry
 
 	known map[string]uint64
@@ -78,6 +80,9 @@
 	if err != nil {
 		return err
 	}
+	if m.Read != nil {
+		m.Read()
+	}
 	seen := make(map[string]bool, len(items))
 	for _, i := range items {
 		seen[i.Key] = true
@@ -94,7 +99,7 @@
 	}
 	m.rev = rev
 	if m.Listed != nil {
-		m.Listed(rev)
+		m.Listed()
 	}
 	return nil
 }
