--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -80,8 +80,16 @@
 func Decide(w []Worker, g []Group, u []Unit) Decision {
 	slices.SortStableFunc(u, func(a, b Unit) int { return cmp.Compare(a.Rank, b.Rank) })
 	var d Decision
+	full := map[shape]bool{}
 	for i := range u {
-		at, ok := place(w, &u[i])
+		// Room only shrinks, so a shape that found none finds none later.
+		z := shapeOf(&u[i])
+		var at []int
+		ok := false
+		if !full[z] {
+			at, ok = place(w, &u[i])
+			full[z] = !ok && u[i].Held == nil
+		}
 		if ok {
 			take(w, &u[i], at)
 			d.Start = append(d.Start, Placement{
@@ -112,6 +120,31 @@
 	return d
 }
 
+// shape is all that decides whether a unit finds room.
+type shape struct {
+	service string
+	label   string
+	rack    string
+	size    graph.Size
+	tasks   int
+	most    int
+	oneRack bool
+	spread  bool
+}
+
+func shapeOf(u *Unit) shape {
+	return shape{
+		service: u.Service,
+		label:   u.Step.Label,
+		rack:    u.Step.DataRack,
+		size:    u.Step.Size,
+		tasks:   len(u.Tasks),
+		most:    u.Step.MaxPerWorker,
+		oneRack: u.Step.OneRack,
+		spread:  u.Spread,
+	}
+}
+
 // take reduces the free room of workers by a unit's tasks.
 func take(w []Worker, u *Unit, at []int) {
 	for _, k := range at {
@@ -227,7 +260,7 @@
 	var spots []spot
 	total := 0
 	for i := range w {
-		if !usable(&w[i], u) || !ok(&w[i]) {
+		if !w[i].Free.Fits(u.Step.Size) || !usable(&w[i], u) || !ok(&w[i]) {
 			continue
 		}
 		if n := capacity(w[i].Free, u, u.Held[i]); n > 0 {
--- /dev/null
+++ b/alloc/alloc_test.go
@@ -0,0 +1,205 @@
+package alloc_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hemlockhinge/alloc"
+	"hemlockhinge/graph"
+)
+
+func gpus(n int) graph.Size { return graph.Size{Accelerators: n} }
+
+// workers returns workers of 8 accelerators, two a rack, with this much free.
+func workers(free ...int) []alloc.Worker {
+	var w []alloc.Worker
+	for i, f := range free {
+		w = append(w, alloc.Worker{
+			ID:      fmt.Sprintf("w%d", i),
+			Rack:    fmt.Sprintf("r%d", i/2),
+			Service: "s",
+			Total:   gpus(8),
+			Free:    gpus(f),
+		})
+	}
+	return w
+}
+
+func unit(rank float64, n, size int, change func(*alloc.Unit)) alloc.Unit {
+	u := alloc.Unit{
+		Job:     fmt.Sprintf("j%v", rank),
+		Service: "s",
+		Rank:    rank,
+		Tasks:   make([]graph.Task, n),
+		Step: &graph.Step{
+			Count: n,
+			Size:  gpus(size),
+			Gang:  n > 1,
+		},
+	}
+	if change != nil {
+		change(&u)
+	}
+	return u
+}
+
+func urgent(u *alloc.Unit)  { u.Urgent = true }
+func oneRack(u *alloc.Unit) { u.Step.OneRack = true }
+
+func group(at, size int, cost float64) alloc.Group {
+	return alloc.Group{
+		Parts: map[int]graph.Size{at: gpus(size)},
+		Cost:  cost,
+	}
+}
+
+func TestPlace(t *testing.T) {
+	cases := []struct {
+		name string
+		free []int
+		unit alloc.Unit
+		want []int
+	}{
+		{"the fullest worker that has room", []int{8, 3, 2}, unit(1, 1, 2, nil), []int{2}},
+		{"whole gangs only", []int{8, 3, 2}, unit(1, 3, 7, nil), nil},
+		{"a gang in one rack", []int{8, 0, 4, 4}, unit(1, 2, 4, oneRack), []int{0, 0}},
+		{"a gang that waits for its rack", []int{4, 0, 4, 0}, unit(1, 2, 4, oneRack), nil},
+		{"a gang that may be spread", []int{4, 0, 4, 0}, unit(1, 2, 4, func(u *alloc.Unit) { oneRack(u); u.Spread = true }), []int{0, 2}},
+		{"a gang that no rack could hold", []int{8, 8, 8, 8}, unit(1, 3, 8, oneRack), []int{0, 1, 2}},
+		{"near its data", []int{8, 8, 1, 8}, unit(1, 1, 4, func(u *alloc.Unit) { u.Step.DataRack = "r1" }), []int{3}},
+		{"few on a worker", []int{8, 8, 0, 0}, unit(1, 2, 1, func(u *alloc.Unit) { u.Step.MaxPerWorker = 1; u.Held = map[int]int{} }), []int{0, 1}},
+		{"a label that nobody has", []int{8, 8}, unit(1, 1, 1, func(u *alloc.Unit) { u.Step.Label = "x" }), nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := alloc.Decide(workers(c.free...), nil, []alloc.Unit{c.unit})
+			assertPlaced(t, d, c.want)
+		})
+	}
+}
+
+func assertPlaced(t *testing.T, d alloc.Decision, want []int) {
+	t.Helper()
+	var got []int
+	if len(d.Start) > 0 {
+		got = slices.Clone(d.Start[0].At)
+		slices.Sort(got)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("placed at %v, not %v", got, want)
+	}
+}
+
+func assertStopped(t *testing.T, d alloc.Decision, want ...int) {
+	t.Helper()
+	var got []int
+	for _, e := range d.Stop {
+		got = append(got, e.Group)
+	}
+	slices.Sort(got)
+	if !slices.Equal(got, want) {
+		t.Errorf("stopped %v, not %v", got, want)
+	}
+}
+
+// TestPreempt answers the pattern of urgent jobs that arrive while longer work
+// fills every worker.
+func TestPreempt(t *testing.T) {
+	t.Run("the cheapest group gives way", func(t *testing.T) {
+		d := alloc.Decide(workers(0, 0), []alloc.Group{group(0, 8, 50), group(1, 8, 10)}, []alloc.Unit{unit(1, 1, 4, urgent)})
+		assertStopped(t, d, 1)
+	})
+	t.Run("no more than needed", func(t *testing.T) {
+		d := alloc.Decide(workers(0), []alloc.Group{group(0, 2, 1), group(0, 4, 2), group(0, 2, 3)}, []alloc.Unit{unit(1, 1, 4, urgent)})
+		assertStopped(t, d, 1)
+	})
+	t.Run("nothing for work that is not urgent", func(t *testing.T) {
+		d := alloc.Decide(workers(0), []alloc.Group{group(0, 8, 1)}, []alloc.Unit{unit(1, 1, 4, nil)})
+		assertStopped(t, d)
+	})
+	t.Run("urgent work last, and for claims only", func(t *testing.T) {
+		groups := func() []alloc.Group {
+			g := []alloc.Group{group(0, 8, 1), group(1, 8, 99)}
+			g[0].Urgent, g[0].Borrowed = true, true
+			return g
+		}
+		assertStopped(t, alloc.Decide(workers(0, 0), groups(), []alloc.Unit{unit(1, 1, 4, urgent)}), 1)
+		claim := unit(1, 2, 8, func(u *alloc.Unit) { urgent(u); u.Claim = true })
+		assertStopped(t, alloc.Decide(workers(0, 0), groups(), []alloc.Unit{claim}), 0, 1)
+	})
+	t.Run("nothing that would not be enough", func(t *testing.T) {
+		d := alloc.Decide(workers(0, 0), []alloc.Group{group(0, 8, 1)}, []alloc.Unit{unit(1, 2, 8, urgent)})
+		assertStopped(t, d)
+	})
+	t.Run("a unit that waits stops nobody", func(t *testing.T) {
+		d := alloc.Decide(workers(0), []alloc.Group{group(0, 8, 1)}, []alloc.Unit{unit(1, 1, 4, func(u *alloc.Unit) { urgent(u); u.Waits = true })})
+		assertStopped(t, d)
+	})
+	t.Run("the room is kept from those after it", func(t *testing.T) {
+		u := []alloc.Unit{unit(1, 1, 8, urgent), unit(2, 1, 2, nil)}
+		d := alloc.Decide(workers(2), []alloc.Group{group(0, 6, 1)}, u)
+		assertStopped(t, d, 0)
+		assertPlaced(t, d, nil)
+	})
+	t.Run("what is coming free is not stopped for again", func(t *testing.T) {
+		w := workers(0, 0)
+		w[0].Coming = gpus(8)
+		d := alloc.Decide(w, []alloc.Group{group(1, 8, 1)}, []alloc.Unit{unit(1, 1, 8, urgent)})
+		assertStopped(t, d)
+	})
+}
+
+// TestDecideNeverOverfills draws clusters and units: no worker gets more than it
+// has, and a gang is placed whole or not at all.
+func TestDecideNeverOverfills(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		free := rapid.SliceOfN(rapid.IntRange(0, 8), 1, 8).Draw(t, "free")
+		w := workers(free...)
+		var g []alloc.Group
+		for i, f := range free {
+			if f < 8 {
+				g = append(g, group(i, 8-f, rapid.Float64Range(0, 100).Draw(t, "cost")))
+			}
+		}
+		var u []alloc.Unit
+		for i := range rapid.IntRange(1, 10).Draw(t, "units") {
+			v := unit(float64(i), rapid.IntRange(1, 4).Draw(t, "tasks"), rapid.IntRange(1, 8).Draw(t, "size"), nil)
+			v.Urgent = rapid.Bool().Draw(t, "urgent")
+			v.Step.OneRack = rapid.Bool().Draw(t, "one rack")
+			u = append(u, v)
+		}
+		used := make([]int, len(free))
+		for _, p := range alloc.Decide(w, g, u).Start {
+			if len(p.At) != len(p.Unit.Tasks) {
+				t.Fatalf("%d of %d tasks placed", len(p.At), len(p.Unit.Tasks))
+			}
+			for _, k := range p.At {
+				used[k] += p.Unit.Step.Size.Accelerators
+			}
+		}
+		for i, n := range used {
+			if n > free[i] {
+				t.Fatalf("worker %d: %d placed, %d free", i, n, free[i])
+			}
+		}
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	const count, waiting = 74, 600
+	free := make([]int, count)
+	for i := range free {
+		free[i] = i % 3
+	}
+	for b.Loop() {
+		w := workers(free...)
+		u := make([]alloc.Unit, 0, waiting)
+		for i := range waiting {
+			u = append(u, unit(float64(i), 1+i%3, 1+i%8, nil))
+		}
+		alloc.Decide(w, nil, u)
+	}
+}
--- /dev/null
+++ b/graph/graph_test.go
@@ -0,0 +1,153 @@
+package graph_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"hemlockhinge/graph"
+)
+
+const jobID = "0123456789abcdef"
+
+func twoSteps() *graph.Job {
+	return &graph.Job{
+		ID: jobID,
+		Steps: []graph.Step{
+			{Count: 2, Estimate: time.Second, Size: graph.Size{MilliCPU: 500, Accelerators: 1}},
+			{Count: 3, Estimate: 2 * time.Second, Gang: true, After: []int{0}},
+		},
+	}
+}
+
+func task(step, index int) graph.Task {
+	return graph.Task{
+		Job:   jobID,
+		Step:  step,
+		Index: index,
+	}
+}
+
+func end(step, index, attempt int, how graph.How) graph.End {
+	return graph.End{
+		Task:    task(step, index),
+		Attempt: attempt,
+		How:     how,
+	}
+}
+
+func TestTaskNames(t *testing.T) {
+	for _, name := range []string{"x.0.0.0", "0123456789abcdef.3.1.17"} {
+		v, err := graph.ParseTask(name)
+		if err != nil || v.String() != name {
+			t.Errorf("%q read as %q, error %v", name, v, err)
+		}
+	}
+	for _, name := range []string{"", "x", "x.0.0", "x.0.0.0.0", "x.a.0.0", "x.0.-1.0"} {
+		var e *graph.TaskNameError
+		if _, err := graph.ParseTask(name); !errors.As(err, &e) || e.Name != name {
+			t.Errorf("%q: error %v, not *TaskNameError", name, err)
+		}
+	}
+}
+
+func TestProgress(t *testing.T) {
+	cases := []struct {
+		name  string
+		ends  []graph.End
+		state graph.State
+		due   bool
+	}{
+		{"nothing", nil, graph.Queued, false},
+		{"one of the first step", []graph.End{end(0, 0, 1, graph.Done)}, graph.Queued, false},
+		{"the first step", []graph.End{end(0, 0, 1, graph.Done), end(0, 1, 1, graph.Done)}, graph.Queued, true},
+		{"the same end twice", []graph.End{end(0, 0, 1, graph.Done), end(0, 0, 1, graph.Done)}, graph.Queued, false},
+		{"a gang's end stands for all", []graph.End{end(0, 0, 1, graph.Done), end(0, 1, 1, graph.Done), end(1, 2, 1, graph.Done)}, graph.Completed, true},
+		{"failures below the limit", []graph.End{end(0, 0, 1, graph.Failed), end(0, 0, 2, graph.Failed)}, graph.Queued, false},
+		{"failures at the limit", []graph.End{end(0, 0, 1, graph.Failed), end(0, 0, 2, graph.Failed), end(0, 0, 3, graph.Failed)}, graph.Fatal, false},
+		{"stops are no failures", []graph.End{end(0, 0, 1, graph.Stopped), end(0, 0, 2, graph.Lapsed), end(0, 0, 3, graph.Broken)}, graph.Queued, false},
+		{"ends of unknown tasks", []graph.End{end(0, 7, 1, graph.Done), end(5, 0, 1, graph.Done)}, graph.Queued, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			j := twoSteps()
+			p := graph.NewProgress(j)
+			for _, e := range c.ends {
+				p.Ended(j, e, 3)
+			}
+			if p.State != c.state || p.StepDue(j, 0, 1) != c.due {
+				t.Errorf("state %q, second step due %t", p.State, p.StepDue(j, 0, 1))
+			}
+		})
+	}
+}
+
+func TestRestoreCountsWhatIsOpen(t *testing.T) {
+	j := twoSteps()
+	p := graph.NewProgress(j)
+	p.Ended(j, end(0, 0, 1, graph.Done), 3)
+	q := &graph.Progress{
+		State: graph.Queued,
+		Tasks: p.Tasks,
+	}
+	q.Restore(j)
+	q.Ended(j, end(0, 1, 1, graph.Done), 3)
+	q.Ended(j, end(1, 0, 1, graph.Done), 3)
+	if q.State != graph.Completed {
+		t.Errorf("state %q after all ends", q.State)
+	}
+}
+
+func TestCheckListsEveryFault(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*graph.Job)
+		want   []string
+	}{
+		{"good", func(*graph.Job) {}, nil},
+		{"bad id", func(j *graph.Job) { j.ID = "xyz" }, []string{"id is not"}},
+		{"no steps", func(j *graph.Job) { j.Steps = nil }, []string{"no steps"}},
+		{"two faults", func(j *graph.Job) { j.Steps[0].Count = 0; j.Steps[1].After = []int{1} }, []string{"step 0: count", "step 1: it cannot"}},
+		{"negative size", func(j *graph.Job) { j.Steps[0].Size.MemoryMiB = -1 }, []string{"memory"}},
+		{"too many in all", func(j *graph.Job) { j.Repeat = 1024; j.Steps[0].Count = 1000 }, []string{"tasks in all"}},
+		{"long spec", func(j *graph.Job) { j.Spec = strings.Repeat("x", 4001) }, []string{"spec"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			j := twoSteps()
+			c.change(j)
+			assertFaults(t, j.Check(), c.want)
+		})
+	}
+}
+
+func assertFaults(t *testing.T, err error, want []string) {
+	t.Helper()
+	var e *graph.InvalidError
+	if !errors.As(err, &e) {
+		if len(want) > 0 {
+			t.Errorf("error %v, not *InvalidError", err)
+		}
+		return
+	}
+	if len(e.Faults) != len(want) {
+		t.Fatalf("faults %q, not %q", e.Faults, want)
+	}
+	for i, w := range want {
+		if !strings.Contains(e.Faults[i], w) {
+			t.Errorf("fault %q does not say %q", e.Faults[i], w)
+		}
+	}
+}
+
+func TestChainAndDue(t *testing.T) {
+	j := twoSteps()
+	if d := j.Chain(); d != 3*time.Second {
+		t.Errorf("chain %s", d)
+	}
+	j.Repeat, j.First, j.Interval = 3, 5000, 2*time.Second
+	if d := j.Due(2); d != 9000 {
+		t.Errorf("third occurrence due at %d ms", d)
+	}
+}
