Read the progress that workers report: stop nothing that ends in time

Cause: groups were stopped that would have ended by themselves within the urgent job's slack, and tasks were started on workers that stood still.

Change: remaining time from progress; what ends within the slack counts as coming free; a worker whose runs all come along three times slower than the queue's mean gets no tasks; while an end waits for its record the agent pauses 40 ms between holds.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -13,6 +13,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"hemlockhinge/graph"
 )
@@ -50,6 +51,8 @@
 	// customer is guaranteed.
 	Urgent bool
 	Claim  bool
+	// Slack is how long the unit can wait without being late.
+	Slack time.Duration
 	// Waits is set for urgent units that are to start only in free room.
 	Waits bool
 	// Spread allows a gang that belongs into one rack to be spread.
@@ -106,6 +109,9 @@
 			continue
 		}
 		for _, k := range p.evict {
+			if g[k].endsWithin(u[i].Slack) {
+				continue
+			}
 			d.Stop = append(d.Stop, Eviction{
 				Group: k,
 				For:   &u[i],
--- a/alloc/preempt.go
+++ b/alloc/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"hemlockhinge/graph"
 )
@@ -20,14 +21,21 @@
 	Cost float64
 	// Stopping groups have been told to stop; their room is Coming.
 	Stopping bool
+	// Remaining is how long the group still runs; Timed says that it is known.
+	Remaining time.Duration
+	Timed     bool
 	// Key is the caller's own name of the group.
 	Key graph.Task
 }
 
+// endsWithin reports whether the group ends by itself soon enough, so that
+// nothing has to be stopped.
+func (g *Group) endsWithin(d time.Duration) bool { return g.Timed && g.Remaining <= d }
+
 // givesWay reports whether a group may be stopped for a unit.
 func (g *Group) givesWay(u *Unit) bool {
 	switch {
-	case !u.Urgent || g.Stopping:
+	case !u.Urgent:
 		return false
 	case !g.Urgent:
 		return true
@@ -110,11 +118,11 @@
 	var may []int
 	for i := range g {
 		_, here := g[i].Parts[worker]
-		if here && !gone[i] && g[i].givesWay(u) {
+		if here && !gone[i] && !g[i].Stopping && (g[i].givesWay(u) || g[i].endsWithin(u.Slack)) {
 			may = append(may, i)
 		}
 	}
-	slices.SortFunc(may, func(a, b int) int { return cmp.Compare(g[a].price(), g[b].price()) })
+	slices.SortFunc(may, func(a, b int) int { return cmp.Compare(g[a].price(u), g[b].price(u)) })
 	for _, i := range may {
 		if free.Fits(u.Step.Size) {
 			break
@@ -133,7 +141,7 @@
 		}
 	}
 	for _, i := range list {
-		cost += g[i].price()
+		cost += g[i].price(u)
 	}
 	return list, cost, true
 }
@@ -142,9 +150,13 @@
 // way makes room.
 const urgentPrice = 1e9
 
-// price is what a group's stop costs in the choice among groups.
-func (g *Group) price() float64 {
-	if g.Urgent {
+// price is what a group's stop costs in the choice among groups; nothing when it
+// ends by itself in time.
+func (g *Group) price(u *Unit) float64 {
+	switch {
+	case g.endsWithin(u.Slack):
+		return 0
+	case g.Urgent:
 		return g.Cost + urgentPrice
 	}
 	return g.Cost
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -47,6 +47,8 @@
 	Tolerance time.Duration
 	// StopTime is how long a stop takes at most.
 	StopTime time.Duration
+	// Reclaim is when a claim must have begun; zero means no bound.
+	Reclaim time.Duration
 	// Early is how long before its time an occurrence may start.
 	Early time.Duration
 	// Kept is how long an ended job is shown.
--- a/leader/member.go
+++ b/leader/member.go
@@ -304,7 +304,7 @@
 		r.saved = v.Saved
 		r.savedAt = time.Now()
 	}
-	r.percent = v.Percent
+	r.pace.see(v.Percent, time.Now())
 	if r.doubt && !v.Uncertain {
 		r.doubt = false
 		r.phase = running
--- a/leader/order.go
+++ b/leader/order.go
@@ -38,6 +38,74 @@
 	return time.Duration(q.Slack*float64(j.Chain())) + q.Target
 }
 
+// slackMargin is kept of an urgent job's slack for what comes after the start.
+const slackMargin = 250 * time.Millisecond
+
+// slack returns how long an urgent job can still wait for its start without
+// being late. What ends as soon as a stop would take need never be stopped.
+func (t *term) slack(j *job, q *policy.Queue, now time.Time) time.Duration {
+	chain := j.Chain()
+	if m := t.learnt[j.Queue]; m > 0 {
+		chain = min(chain, m*time.Duration(len(j.Steps)))
+	}
+	d := time.Duration((q.Slack-1)*float64(chain)) + q.Target
+	if r := t.l.s.Reclaim - t.l.s.StopTime; j.claim && r > 0 {
+		d = min(d, r)
+	}
+	return max(d-now.Sub(j.arrived)-slackMargin, t.l.s.StopTime)
+}
+
+// Rules by which a worker is taken for slow.
+const (
+	slowFactor = 3.0
+	slowRuns   = 2
+	slowAlone  = 4.5
+)
+
+// sluggish reports whether all that runs at a worker comes along far slower than
+// the queues' runs do elsewhere.
+func (t *term) sluggish(m *member) bool {
+	slow, worst := 0, 0.0
+	for k, r := range m.runs {
+		j := t.jobs[k.Job]
+		if j == nil || j.far(k) {
+			continue
+		}
+		mean := t.learnt[j.Queue]
+		d, ok := r.pace.wholeTime()
+		if mean == 0 || !ok {
+			continue
+		}
+		f := float64(d) / float64(mean)
+		if f < slowFactor {
+			return false
+		}
+		worst = max(worst, f)
+		slow++
+	}
+	return slow >= slowRuns || worst >= slowAlone
+}
+
+// far reports whether a task runs away from its data, or its gang in several
+// racks, and so takes longer than others.
+func (j *job) far(k graph.Task) bool {
+	s := &j.Steps[k.Step]
+	r := j.runs[k]
+	if r == nil || s.DataRack != "" && r.at.facts.Rack != s.DataRack {
+		return true
+	}
+	if !s.OneRack {
+		return false
+	}
+	for i := range s.Count {
+		k.Index = i
+		if v := j.runs[k]; v != nil && v.at.facts.Rack != r.at.facts.Rack {
+			return true
+		}
+	}
+	return false
+}
+
 // learnWeight is the weight of the newest run time in the mean.
 const learnWeight = 0.2
 
@@ -85,57 +153,69 @@
 	}
 }
 
+// grouping collects what runs, as alloc sees it.
+type grouping struct {
+	term  *term
+	place map[*member]int
+	known map[graph.Task]int
+	list  []alloc.Group
+	runs  [][]*run
+}
+
 // groups returns what runs, as alloc sees it, and the runs of each group. Coming
 // of the workers is set by the groups that are stopping.
 func (t *term) groups(w []alloc.Worker, at []*member, now time.Time) ([]alloc.Group, [][]*run) {
-	place := map[*member]int{}
+	g := grouping{
+		term:  t,
+		place: map[*member]int{},
+		known: map[graph.Task]int{},
+	}
 	for i, m := range at {
-		place[m] = i
+		g.place[m] = i
 	}
-	var g []alloc.Group
-	var runs [][]*run
-	gangs := map[graph.Task]int{}
 	for _, j := range t.jobs {
 		for k, r := range j.runs {
-			i := place[r.at]
-			if r.halting || !j.live() {
+			i := g.place[r.at]
+			switch {
+			case r.halting || !j.live():
 				w[i].Coming = w[i].Coming.Add(r.size)
-				continue
-			}
-			if r.phase != running {
-				continue
-			}
-			s := &j.Steps[k.Step]
-			key := k
-			n, known := -1, false
-			if s.Gang {
-				key.Index = 0
-				n, known = lookup(gangs, key)
+			case r.phase == running:
+				g.add(j, k, r, now)
 			}
-			if !known {
-				n = len(g)
-				gangs[key] = n
-				q := t.queue(j)
-				g = append(g, alloc.Group{
-					Job:      j.ID,
-					Key:      key,
-					Parts:    map[int]graph.Size{},
-					Urgent:   q != nil && q.Priority == 0,
-					Borrowed: !j.claim,
-				})
-				runs = append(runs, nil)
-			}
-			g[n].Parts[i] = g[n].Parts[i].Add(r.size)
-			g[n].Cost += stopCost(j, s, r, now)
-			runs[n] = append(runs[n], r)
 		}
 	}
-	return g, runs
+	return g.list, g.runs
 }
 
-func lookup(m map[graph.Task]int, k graph.Task) (int, bool) {
-	n, ok := m[k]
-	return n, ok
+// add takes a run into its group: its gang's, or its own.
+func (g *grouping) add(j *job, k graph.Task, r *run, now time.Time) {
+	s := &j.Steps[k.Step]
+	if s.Gang {
+		k.Index = 0
+	}
+	n, ok := g.known[k]
+	if !ok {
+		n = len(g.list)
+		g.known[k] = n
+		q := g.term.queue(j)
+		g.list = append(g.list, alloc.Group{
+			Job:      j.ID,
+			Key:      k,
+			Parts:    map[int]graph.Size{},
+			Urgent:   q != nil && q.Priority == 0,
+			Borrowed: !j.claim,
+			Timed:    true,
+		})
+		g.runs = append(g.runs, nil)
+	}
+	v := &g.list[n]
+	i := g.place[r.at]
+	v.Parts[i] = v.Parts[i].Add(r.size)
+	v.Cost += stopCost(j, s, r, now)
+	d, timed := r.pace.remaining(r.begun, now)
+	v.Remaining = max(v.Remaining, d)
+	v.Timed = v.Timed && timed && !r.resumed
+	g.runs[n] = append(g.runs[n], r)
 }
 
 // stopCost is the work in core-seconds that a stop of a run throws away.
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -71,6 +71,9 @@
 	for _, m := range at {
 		f := m.facts
 		d := m.judge.doubt(now)
+		if t.sluggish(m) {
+			d = closedDoubt
+		}
 		w = append(w, alloc.Worker{
 			ID:      m.addr,
 			Domain:  f.Zone,
@@ -144,6 +147,7 @@
 		Rank:    t.rank(j, q),
 		Urgent:  q.Priority == 0,
 		Claim:   j.claim,
+		Slack:   t.slack(j, q, now),
 		Spread:  now.Sub(j.arrived) > time.Duration(spreadWait*float64(s.Estimate)),
 	}
 	var tasks []graph.Task
@@ -247,6 +251,7 @@
 			size:    p.Unit.Step.Size,
 			begun:   now,
 			saved:   v.Saved,
+			resumed: savedFor(j, k) != "",
 		}
 		j.runs[k] = r
 		r.at.runs[k] = r
--- a/leader/term.go
+++ b/leader/term.go
@@ -75,11 +75,13 @@
 	// doubt means that the start's reply was lost with the session.
 	doubt bool
 	// seq is the agent's first standing that must list the run.
-	seq      uint64
-	begun    time.Time
-	saved    string
-	savedAt  time.Time
-	percent  int
+	seq     uint64
+	begun   time.Time
+	saved   string
+	savedAt time.Time
+	pace    pace
+	// resumed runs began from a checkpoint.
+	resumed  bool
 	halting  bool
 	haltedAt time.Time
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -34,6 +34,7 @@
 	pollWait       = time.Second
 	pollSlack      = 500 * time.Millisecond
 	retryPause     = 30 * time.Millisecond
+	unnotedPause   = 40 * time.Millisecond
 	reportInterval = time.Second
 	// fenceJump is added to a token that the worker has found too low: more
 	// than an agent can have raised it in a day.
@@ -198,10 +199,19 @@
 	for c.Err() == nil {
 		r.mu.Lock()
 		settled, idle := r.settled, r.ledger.Idle()
+		unnoted := len(r.ledger.Ends()) > 0
 		r.mu.Unlock()
 		switch {
 		case !settled:
 			r.settleIdle(c)
+		case unnoted:
+			// The worker answers at once while it keeps an end.
+			_ = r.hold(c, 0)
+			select {
+			case <-c.Done():
+			case <-r.wake:
+			case <-time.After(unnotedPause):
+			}
 		case idle:
 			select {
 			case <-c.Done():
