--- a/cmd/hemlockhinge/platform.go
+++ b/cmd/hemlockhinge/platform.go
@@ -6,6 +6,11 @@
 	"os"
 	"runtime/debug"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"hemlockhinge/logs"
+	"hemlockhinge/meter"
 	"hemlockhinge/platform"
 	"hemlockhinge/wire"
 )
@@ -14,6 +19,12 @@
 // towards.
 const memoryShare = 0.7
 
+// The budget of a daemon's log, in lines.
+const (
+	logPerSecond = 100
+	logBurst     = 2000
+)
+
 // onPlatform runs a daemon with the settings that the platform gives.
 func onPlatform(run func(context.Context, <-chan struct{}, platform.Ports, *platform.Settings) error) error {
 	s, err := platform.ReadSettings()
@@ -23,11 +34,20 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(math.Round(memoryShare * float64(s.Memory) * (1 << 20))))
 	}
+	r := prometheus.NewRegistry()
+	m := meter.New(r)
+	w := logs.NewWriter(os.Stdout, logs.Budget{
+		PerSecond: logPerSecond,
+		Burst:     logBurst,
+	}, m.LinesDropped)
+	defer w.Close()
 	g := newLog("info")
-	g.Logger.SetOutput(os.Stdout)
+	g.Logger.SetOutput(w)
 	c, d := untilSignal()
 	return run(c, d, platform.Ports{
-		Net: wire.TCP{},
-		Log: g,
+		Net:     wire.TCP{},
+		Log:     g,
+		Meter:   m,
+		Metrics: promhttp.HandlerFor(r, promhttp.HandlerOpts{}),
 	}, s)
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -26,6 +26,7 @@
 
 	"hemlockhinge/graph"
 	"hemlockhinge/leader"
+	"hemlockhinge/meter"
 	"hemlockhinge/mirror"
 	"hemlockhinge/pause"
 	"hemlockhinge/policy"
@@ -58,6 +59,7 @@
 	Objects Objects
 	Leader  *leader.Leader
 	Log     *logrus.Entry
+	Meter   *meter.Meter
 }
 
 // Settings of an intake.
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -45,6 +45,7 @@
 		"ms":       w.took.Milliseconds(),
 		"outcome":  outcome(err),
 	}).Info("job_submitted")
+	d.p.Meter.Submitted(outcome(err), w.took)
 	return err
 }
 
@@ -71,6 +72,7 @@
 		"ms":      w.took.Milliseconds(),
 		"outcome": outcome(err),
 	}).Info("job_cancel_asked")
+	d.p.Meter.Submitted("cancel: "+outcome(err), w.took)
 	return err
 }
 
--- a/leader/flush.go
+++ b/leader/flush.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -186,4 +187,5 @@
 		f["objective_ms"] = objective(j.Job, q).Milliseconds()
 	}
 	t.log.WithFields(f).Info("job_ended")
+	t.l.p.Meter.JobEnded(fmt.Sprint(f["class"]), string(j.shown), time.Since(j.arrived), j.firstStart)
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -25,6 +25,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockhinge/graph"
+	"hemlockhinge/meter"
 	"hemlockhinge/policy"
 	"hemlockhinge/store"
 	"hemlockhinge/wire"
@@ -35,6 +36,7 @@
 	Net   wire.Network
 	Store store.Committer
 	Log   *logrus.Entry
+	Meter *meter.Meter
 	Wall  func() time.Time
 }
 
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -315,6 +315,7 @@
 		return
 	}
 	var f *wire.RefusedError
+	t.l.p.Meter.Started(startOutcome(err))
 	switch {
 	case err == nil:
 		r.phase = running
@@ -331,6 +332,18 @@
 	}
 }
 
+// startOutcome names how a start went.
+func startOutcome(err error) string {
+	var f *wire.RefusedError
+	switch {
+	case err == nil:
+		return "started"
+	case errors.As(err, &f):
+		return f.Code.String()
+	}
+	return "unanswered"
+}
+
 // halts stops what must not go on: runs of ended jobs, members of gangs that
 // are not whole, and runs that should not be there.
 func (t *term) halts(now time.Time) {
@@ -375,6 +388,7 @@
 func (t *term) evict(r *run, u *alloc.Unit, now time.Time) {
 	j := t.jobs[r.task.Job]
 	j.evicted++
+	t.l.p.Meter.Evicted()
 	r.halting = true
 	t.log.WithFields(logrus.Fields{
 		"task":    r.task.String(),
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -99,7 +99,9 @@
 	}
 	s, cancel := context.WithTimeout(c, orderTimeout)
 	defer cancel()
+	begun := time.Now()
 	a, err := r.p.Worker.Start(s, o)
+	r.p.Meter.WorkerCall("start", err, time.Since(begun))
 	r.mu.Lock()
 	r.tick(a.ClockMS)
 	r.mu.Unlock()
@@ -201,7 +203,9 @@
 	}
 	s, cancel := context.WithTimeout(c, orderTimeout)
 	defer cancel()
+	begun := time.Now()
 	a, err := r.p.Worker.Stop(s, o)
+	r.p.Meter.WorkerCall("stop", err, time.Since(begun))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tick(a.ClockMS)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -24,6 +24,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockhinge/fence"
+	"hemlockhinge/meter"
 	"hemlockhinge/pause"
 	"hemlockhinge/wire"
 )
@@ -57,6 +58,7 @@
 	// life of it, false when it has left.
 	Presence func(there bool)
 	Log      *logrus.Entry
+	Meter    *meter.Meter
 	Wall     func() time.Time
 }
 
@@ -287,7 +289,9 @@
 	r.mu.Unlock()
 	c, cancel := context.WithTimeout(c, wait+max(pollSlack, orderTimeout))
 	defer cancel()
+	begun := time.Now()
 	a, err := r.p.Worker.Hold(c, o)
+	r.p.Meter.WorkerCall("hold", err, time.Since(begun))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tick(a.ClockMS)
