--- a/graph/graph_test.go
+++ b/graph/graph_test.go
@@ -66,6 +66,8 @@
 		{"a gang's end stands for all", []graph.End{end(0, 0, 1, graph.Done), end(0, 1, 1, graph.Done), end(1, 2, 1, graph.Done)}, graph.Completed, true},
 		{"failures below the limit", []graph.End{end(0, 0, 1, graph.Failed), end(0, 0, 2, graph.Failed)}, graph.Queued, false},
 		{"failures at the limit", []graph.End{end(0, 0, 1, graph.Failed), end(0, 0, 2, graph.Failed), end(0, 0, 3, graph.Failed)}, graph.Fatal, false},
+		{"one failure told again and again", []graph.End{end(0, 0, 1, graph.Failed), end(0, 0, 1, graph.Failed), end(0, 0, 1, graph.Failed), end(0, 0, 2, graph.Failed)}, graph.Queued, false},
+		{"failures out of order", []graph.End{end(0, 0, 2, graph.Failed), end(0, 0, 1, graph.Failed), end(0, 0, 3, graph.Failed)}, graph.Fatal, false},
 		{"stops are no failures", []graph.End{end(0, 0, 1, graph.Stopped), end(0, 0, 2, graph.Lapsed), end(0, 0, 3, graph.Broken)}, graph.Queued, false},
 		{"ends of unknown tasks", []graph.End{end(0, 7, 1, graph.Done), end(5, 0, 1, graph.Done)}, graph.Queued, false},
 	}
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -1,5 +1,9 @@
 package graph
 
+import (
+	"slices"
+)
+
 // How says how a run ended.
 type How string
 
@@ -46,10 +50,11 @@
 
 // TaskProgress is what is known of one task.
 type TaskProgress struct {
-	Done     bool   `msgpack:"d,omitempty"`
-	Failures int    `msgpack:"f,omitempty"`
-	Attempt  int    `msgpack:"a,omitempty"`
-	Saved    string `msgpack:"s,omitempty"`
+	Done    bool   `msgpack:"d,omitempty"`
+	Attempt int    `msgpack:"a,omitempty"`
+	Saved   string `msgpack:"s,omitempty"`
+	// Failed are the attempts that have failed: an end may be told again.
+	Failed []int `msgpack:"f,omitempty"`
 }
 
 // Progress is how far a job has come. It is what the store keeps of a job
@@ -117,7 +122,7 @@
 		p.done(j, e.Task)
 		return true
 	case Failed:
-		p.failed(j, e.Task, maxAttempts)
+		p.failed(j, e.Task, e.Attempt, maxAttempts)
 		return true
 	}
 	return false
@@ -141,13 +146,15 @@
 	}
 }
 
-func (p *Progress) failed(j *Job, t Task, maxAttempts int) {
+func (p *Progress) failed(j *Job, t Task, attempt, maxAttempts int) {
 	v := p.Of(j, t)
-	v.Failures++
+	if !slices.Contains(v.Failed, attempt) {
+		v.Failed = append(v.Failed, attempt)
+	}
 	if v.Done || j.Steps[t.Step].Lasting {
 		return
 	}
-	if maxAttempts > 0 && v.Failures >= maxAttempts {
+	if maxAttempts > 0 && len(v.Failed) >= maxAttempts {
 		p.State = Fatal
 	}
 }
