Take an agent's word for an end only once it has heard its worker

The restart itself came from SIGHUP, which ended every process.

Change: only a settled agent that knows its worker can show that a run is over; SIGHUP reads the settings again and is logged.

--- a/cmd/hemlockhinge/platform.go
+++ b/cmd/hemlockhinge/platform.go
@@ -4,10 +4,13 @@
 	"context"
 	"math"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
 
 	"hemlockhinge/logs"
 	"hemlockhinge/meter"
@@ -44,6 +47,7 @@
 	g := newLog("info")
 	g.Logger.SetOutput(w)
 	c, d := untilSignal()
+	onHangup(c, g)
 	return run(c, d, platform.Ports{
 		Net:     wire.TCP{},
 		Log:     g,
@@ -51,3 +55,21 @@
 		Metrics: promhttp.HandlerFor(r, promhttp.HandlerOpts{}),
 	}, s)
 }
+
+// onHangup reads the settings again at SIGHUP and says what came of it. A change
+// of what a process listens on, or stands on, takes effect at its next start.
+func onHangup(c context.Context, g *logrus.Entry) {
+	h := make(chan os.Signal, 1)
+	signal.Notify(h, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-c.Done():
+				return
+			case <-h:
+				_, err := platform.ReadSettings()
+				g.WithError(err).Info("settings_read_again")
+			}
+		}
+	}()
+}
--- a/leader/member.go
+++ b/leader/member.go
@@ -227,8 +227,10 @@
 	}
 	m.seq = s.Seq
 	t.hearFacts(m, s)
-	for _, e := range s.Ends {
-		t.hearEnd(m, e)
+	if s.Worker.Known {
+		for _, e := range s.Ends {
+			t.hearEnd(m, e)
+		}
 	}
 	listed := map[graph.Task]bool{}
 	for _, v := range s.Runs {
@@ -237,25 +239,35 @@
 			t.hearRun(m, k, v)
 		}
 	}
+	if s.Settled && s.Worker.Known {
+		m.known = true
+		t.dropUnlisted(m, s.Seq, listed)
+	}
+	m.noteEnds()
+	t.poke()
+}
+
+// dropUnlisted takes in that runs are over which an agent does not list. Only an
+// agent that has settled all its orders, and has heard its worker, can tell.
+func (t *term) dropUnlisted(m *member, seq uint64, listed map[graph.Task]bool) {
 	for k := range m.alien {
 		if !listed[k] {
 			delete(m.alien, k)
 		}
 	}
 	for k, r := range m.runs {
-		if !listed[k] && (r.doubt || (r.phase == running && s.Seq >= r.seq)) {
+		if !listed[k] && (r.doubt || (r.phase == running && seq >= r.seq)) {
 			t.vanished(m, r)
 		}
 	}
-	if s.Settled && s.Worker.Known {
-		m.known = true
-	}
-	m.noteEnds()
-	t.poke()
 }
 
 func (t *term) hearFacts(m *member, s *wire.Standing) {
 	w := s.Worker
+	if !w.Known {
+		m.facts.Known = false
+		return
+	}
 	if w.Born != m.facts.Born {
 		m.seen = 0
 		m.safe = 0
