Let a new session's standings tell of all starts before it

Cause: the numbers of an agent's standings begin anew when it restarts; runs started before kept waiting for a number of the former process.

--- a/leader/member.go
+++ b/leader/member.go
@@ -176,6 +176,8 @@
 	m.noted = 0
 	m.heard = asked
 	for _, r := range m.runs {
+		// The standings of a session that begins know all starts before it.
+		r.seq = 0
 		if r.phase == launching {
 			r.doubt = true
 		}
