Ask the adviser where a queue needs it; keep filling and serving tasks apart

Cause: starts on a queue with advice were rejected for want of a ticket; tasks that fill would have disturbed tasks with a target for their response times.

Change: advice.Book remembers answers for a step and life of a worker; alloc starts only where a ticket holds. Filling and serving tasks are not put on one worker, and lasting tasks never give way.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -29,6 +29,11 @@
 	Free    graph.Size
 	// Coming is what groups that are being stopped will leave.
 	Coming graph.Size
+	// Serving and Filling say that tasks with a target for their response
+	// times, or tasks that fill what others leave, run there. They disturb one
+	// another and are kept apart.
+	Serving bool
+	Filling bool
 	// Closed workers take no new task.
 	Closed bool
 	// Doubt is higher for workers whose last tasks went badly.
@@ -55,6 +60,9 @@
 	Slack time.Duration
 	// Waits is set for urgent units that are to start only in free room.
 	Waits bool
+	// Allowed, if not nil, are the only workers that may run the step, by their
+	// index.
+	Allowed map[int]bool
 	// Spread allows a gang that belongs into one rack to be spread.
 	Spread bool
 }
@@ -91,7 +99,7 @@
 		ok := false
 		if !full[z] {
 			at, ok = place(w, &u[i])
-			full[z] = !ok && u[i].Held == nil
+			full[z] = !ok && u[i].Held == nil && u[i].Allowed == nil
 		}
 		if ok {
 			take(w, &u[i], at)
@@ -155,6 +163,8 @@
 func take(w []Worker, u *Unit, at []int) {
 	for _, k := range at {
 		w[k].Free = w[k].Free.Sub(u.Step.Size)
+		w[k].Serving = w[k].Serving || u.Step.TailTarget > 0
+		w[k].Filling = w[k].Filling || u.Step.Filler
 		if u.Held != nil {
 			u.Held[k]++
 		}
@@ -210,7 +220,7 @@
 func rackCould(w []Worker, u *Unit) bool {
 	n := map[string]int{}
 	for i := range w {
-		if usable(&w[i], u) {
+		if usable(w, i, u) {
 			n[w[i].Rack] += capacity(w[i].Total, u, 0)
 		}
 	}
@@ -227,17 +237,24 @@
 func dataCould(w []Worker, u *Unit) bool {
 	n := 0
 	for i := range w {
-		if usable(&w[i], u) && w[i].Rack == u.Step.DataRack {
+		if usable(w, i, u) && w[i].Rack == u.Step.DataRack {
 			n += capacity(w[i].Total, u, 0)
 		}
 	}
 	return n >= len(u.Tasks)
 }
 
-func usable(v *Worker, u *Unit) bool {
+func usable(w []Worker, i int, u *Unit) bool {
+	v := &w[i]
+	if u.Allowed != nil && !u.Allowed[i] {
+		return false
+	}
 	if v.Closed || v.Service != u.Service {
 		return false
 	}
+	if u.Step.Filler && v.Serving || u.Step.TailTarget > 0 && v.Filling {
+		return false
+	}
 	return u.Step.Label == "" || slices.Contains(v.Labels, u.Step.Label)
 }
 
@@ -266,7 +283,7 @@
 	var spots []spot
 	total := 0
 	for i := range w {
-		if !w[i].Free.Fits(u.Step.Size) || !usable(&w[i], u) || !ok(&w[i]) {
+		if !w[i].Free.Fits(u.Step.Size) || !usable(w, i, u) || !ok(&w[i]) {
 			continue
 		}
 		if n := capacity(w[i].Free, u, u.Held[i]); n > 0 {
--- a/alloc/preempt.go
+++ b/alloc/preempt.go
@@ -17,6 +17,8 @@
 	// Urgent groups give way only to claims, and only when they are borrowed.
 	Urgent   bool
 	Borrowed bool
+	// Fixed groups never give way.
+	Fixed bool
 	// Cost is the work that is lost when the group stops now.
 	Cost float64
 	// Stopping groups have been told to stop; their room is Coming.
@@ -35,7 +37,7 @@
 // givesWay reports whether a group may be stopped for a unit.
 func (g *Group) givesWay(u *Unit) bool {
 	switch {
-	case !u.Urgent:
+	case !u.Urgent || g.Fixed:
 		return false
 	case !g.Urgent:
 		return true
@@ -84,7 +86,7 @@
 		best, list, cost := -1, []int(nil), 0.0
 		for i := range w {
 			full := u.Step.MaxPerWorker > 0 && held[i] >= u.Step.MaxPerWorker
-			if full || !usable(&w[i], u) || !ok(&w[i]) {
+			if full || !usable(w, i, u) || !ok(&w[i]) {
 				continue
 			}
 			l, c, fits := cheapest(g, gone, i, free[i], u)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -35,9 +35,11 @@
 type Ports struct {
 	Net   wire.Network
 	Store store.Committer
-	Log   *logrus.Entry
-	Meter *meter.Meter
-	Wall  func() time.Time
+	// Adviser may be nil where no queue needs one.
+	Adviser Adviser
+	Log     *logrus.Entry
+	Meter   *meter.Meter
+	Wall    func() time.Time
 }
 
 // Settings of a scheduler.
--- a/leader/order.go
+++ b/leader/order.go
@@ -205,6 +205,7 @@
 			Urgent:   q != nil && q.Priority == 0,
 			Borrowed: !j.claim,
 			Timed:    true,
+			Fixed:    s.Lasting,
 		})
 		g.runs = append(g.runs, nil)
 	}
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -82,6 +82,8 @@
 			Labels:  f.Labels,
 			Total:   f.Capacity,
 			Free:    f.Capacity.Sub(m.used()),
+			Serving: m.has(t, func(s *graph.Step) bool { return s.TailTarget > 0 }),
+			Filling: m.has(t, func(s *graph.Step) bool { return s.Filler }),
 			Closed:  m.peer == nil || !m.known || !f.Known || f.Leaving || f.Gone || out[f.Zone] || d >= closedDoubt,
 			Doubt:   d,
 		})
@@ -89,6 +91,16 @@
 	return w, at
 }
 
+// has reports whether a run of a step that f picks is at the member's worker.
+func (m *member) has(t *term, f func(*graph.Step) bool) bool {
+	for k := range m.runs {
+		if j := t.jobs[k.Job]; j != nil && f(&j.Steps[k.Step]) {
+			return true
+		}
+	}
+	return false
+}
+
 // used returns what may be taken at the member's worker.
 func (m *member) used() graph.Size {
 	var z graph.Size
@@ -169,6 +181,9 @@
 	if len(tasks) == 0 || !j.prog.StepDue(j.Job, occurrence, step) {
 		return nil
 	}
+	if q.Advised && t.l.p.Adviser != nil {
+		v.Allowed = t.approved(tasks[0], at, now)
+	}
 	if s.MaxPerWorker > 0 {
 		v.Held = j.held(occurrence, step, at)
 	}
@@ -280,6 +295,7 @@
 		Attempt: r.attempt,
 		Spec:    j.Spec,
 		Saved:   savedFor(j, r.task),
+		Ticket:  t.ticket(r),
 		Size:    r.size,
 	}
 	p := r.at.peer
@@ -327,6 +343,9 @@
 		delete(j.runs, r.task)
 		delete(r.at.runs, r.task)
 		j.again[r.task] = time.Now().Add(retryInterval)
+		if f.Code == wire.CodeTicket {
+			t.book.Drop(r.task.StepName(), lifeOf(r.at))
+		}
 	default:
 		r.doubt = true
 	}
--- a/leader/term.go
+++ b/leader/term.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/advice"
 	"hemlockhinge/graph"
 	"hemlockhinge/mirror"
 	"hemlockhinge/pause"
@@ -115,6 +116,7 @@
 	sessions uint64
 	// learnt are the mean times of runs by queue.
 	learnt map[string]time.Duration
+	book   advice.Book
 	ctx    context.Context //nolint:containedctx // the term's own life
 	group  sync.WaitGroup
 }
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -233,7 +233,9 @@
 		return wire.CodeDone
 	case ReasonInvalid:
 		return wire.CodeFailed
-	case ReasonFence, ReasonLate, ReasonOtherLife, ReasonNotSent, ReasonUnhealthy, ReasonTicket:
+	case ReasonTicket:
+		return wire.CodeTicket
+	case ReasonFence, ReasonLate, ReasonOtherLife, ReasonNotSent, ReasonUnhealthy:
 		return wire.CodeLost
 	}
 	return wire.CodeInternal
--- a/wire/refuse.go
+++ b/wire/refuse.go
@@ -24,6 +24,7 @@
 	CodeDone
 	CodeLost
 	CodeFailed
+	CodeTicket
 )
 
 var codeNames = map[Code]string{
@@ -40,6 +41,7 @@
 	CodeDone:        "done_already",
 	CodeLost:        "incarnation_lost",
 	CodeFailed:      "failed",
+	CodeTicket:      "no_ticket",
 }
 
 // String returns the name of the code.
