--- a/runner/runner.go
+++ b/runner/runner.go
@@ -101,7 +101,6 @@
 	return &Runner{
 		p:       p,
 		s:       s,
-		contact: time.Now(),
 		orders:  make(chan struct{}, 1),
 		wake:    make(chan struct{}, 1),
 		news:    make(chan struct{}, 1),
@@ -332,9 +331,11 @@
 }
 
 // until returns the end of the lease by the worker's clock: one lease from now,
-// and no later than Tolerance after the scheduler's last contact. r.mu is held.
+// and no later than Tolerance after the scheduler's last contact; 0 for none. A
+// new process has had no contact yet, and cannot know how long its predecessor
+// had none. r.mu is held.
 func (r *Runner) until() int64 {
-	if r.clock.at.IsZero() {
+	if r.clock.at.IsZero() || r.contact.IsZero() {
 		return 0
 	}
 	now := time.Now()
