Date every order by the agent's own clock; find dead workers beside live agents

(2) A message held up by a cut could renew an agent's contact, or start a task, long after the scheduler had given the agent up.

Change: pings and launches carry the newest of the agent's clock that the scheduler has heard; contact is as old as that, and a start older than 2 s is refused. An agent stops renewing after a lease without an answer, and once all leases have run out says that its worker is vacant.

Tests: TestWorkerGoneAgentStays, failing before. TestStuckMessages passes before and after: it guards, it did not find.

--- a/fence/fence.go
+++ b/fence/fence.go
@@ -219,6 +219,9 @@
 	l.ends = slices.DeleteFunc(l.ends, func(e End) bool { return e.N <= n })
 }
 
+// Clear forgets all runs: their leases have run out.
+func (l *Ledger) Clear() { l.runs = nil }
+
 // Has reports whether a run may exist.
 func (l *Ledger) Has(t graph.Task, attempt int) bool {
 	r := l.runs[t]
--- a/leader/member.go
+++ b/leader/member.go
@@ -46,6 +46,8 @@
 	// known is false until the agent has reported in this term all that may
 	// run at its worker.
 	known bool
+	// open means that the worker answers its agent, and takes tasks.
+	open bool
 	// heard is when the agent was last in contact for certain.
 	heard time.Time
 	runs  map[graph.Task]*run
@@ -57,6 +59,8 @@
 	ends  []pendingEnd
 	safe  int64
 	noted int64
+	// echo is the newest of the agent's steady clock that was heard.
+	echo  int64
 	wall  time.Duration
 	clock bool
 	judge judge
@@ -137,13 +141,12 @@
 	}))
 	t.group.Go(func() { _ = p.Run(c) })
 	defer p.Close()
-	asked := time.Now()
 	s, err := wire.CallFor[*wire.Standing](c, p, t.nextLead(), leadTimeout)
 	if err != nil {
 		t.deposedBy(err)
 		return err
 	}
-	t.open(m, p, s, asked)
+	t.open(m, p, s)
 	defer t.closed(m, p)
 	return t.pings(c, m, p)
 }
@@ -168,13 +171,14 @@
 	}
 }
 
-func (t *term) open(m *member, p *wire.Peer, s *wire.Standing, asked time.Time) {
+func (t *term) open(m *member, p *wire.Peer, s *wire.Standing) {
 	m.lost = false
 	t.mu.Lock()
 	m.peer = p
 	m.seq = 0
 	m.noted = 0
-	m.heard = asked
+	m.heard = time.Now()
+	m.echo = s.AgentMS
 	for _, r := range m.runs {
 		// The standings of a session that begins know all starts before it.
 		r.seq = 0
@@ -197,15 +201,21 @@
 
 // pings keep the contact with an agent until it is lost.
 func (t *term) pings(c context.Context, m *member, p *wire.Peer) error {
-	for pause.For(c, pingInterval) {
+	for wait := time.Duration(0); pause.For(c, wait); wait = pingInterval {
 		asked := time.Now()
-		r, err := wire.CallFor[*wire.Pong](c, p, &wire.Ping{}, pingTimeout)
+		t.mu.Lock()
+		v := &wire.Ping{
+			EchoMS: m.echo,
+		}
+		t.mu.Unlock()
+		r, err := wire.CallFor[*wire.Pong](c, p, v, pingTimeout)
 		if err != nil {
 			t.deposedBy(err)
 			return err
 		}
 		t.mu.Lock()
-		m.heard = asked
+		m.heard = time.Now()
+		m.echo = max(m.echo, r.AgentMS)
 		m.wall = time.UnixMilli(r.WallMS).Sub(t.steady(asked))
 		m.clock = true
 		t.mu.Unlock()
@@ -228,6 +238,7 @@
 		return
 	}
 	m.seq = s.Seq
+	m.echo = max(m.echo, s.AgentMS)
 	t.hearFacts(m, s)
 	if s.Worker.Known {
 		for _, e := range s.Ends {
@@ -241,7 +252,8 @@
 			t.hearRun(m, k, v)
 		}
 	}
-	if s.Settled && s.Worker.Known {
+	m.open = s.Settled && !s.Vacant
+	if s.Vacant || (s.Settled && s.Worker.Known) {
 		m.known = true
 		t.dropUnlisted(m, s.Seq, listed)
 	}
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -84,7 +84,7 @@
 			Free:    f.Capacity.Sub(m.used()),
 			Serving: m.has(t, func(s *graph.Step) bool { return s.TailTarget > 0 }),
 			Filling: m.has(t, func(s *graph.Step) bool { return s.Filler }),
-			Closed:  m.peer == nil || !m.known || !f.Known || f.Leaving || f.Gone || out[f.Zone] || d >= closedDoubt,
+			Closed:  m.peer == nil || !m.known || !m.open || !f.Known || f.Leaving || f.Gone || out[f.Zone] || d >= closedDoubt,
 			Doubt:   d,
 		})
 	}
@@ -297,6 +297,7 @@
 		Saved:   savedFor(j, r.task),
 		Ticket:  t.ticket(r),
 		Size:    r.size,
+		EchoMS:  r.at.echo,
 	}
 	p := r.at.peer
 	if j.starts == 0 {
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -17,7 +17,7 @@
 	case *wire.Lead:
 		return r.follow(p, v)
 	case *wire.Ping:
-		return r.ping(p)
+		return r.ping(p, v)
 	case *wire.Launch:
 		return r.launch(c, p, v)
 	case *wire.Halt:
@@ -44,7 +44,6 @@
 	}
 	r.lead = *m
 	r.peer = p
-	r.contact = time.Now()
 	r.seq++
 	r.p.Log.WithFields(logrus.Fields{"leader": m.Leader, "epoch": m.Epoch, "session": m.Session}).Info("scheduler_obeyed")
 	return r.standing(), nil
@@ -62,15 +61,16 @@
 	}
 }
 
-func (r *Runner) ping(p *wire.Peer) (wire.Message, error) {
+func (r *Runner) ping(p *wire.Peer, m *wire.Ping) (wire.Message, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := r.obeys(p); err != nil {
 		return nil, err
 	}
-	r.contact = time.Now()
+	r.touch(m.EchoMS)
 	return &wire.Pong{
-		WallMS: r.p.Wall().UnixMilli(),
+		WallMS:  r.p.Wall().UnixMilli(),
+		AgentMS: r.clockMS(),
 	}, nil
 }
 
@@ -85,6 +85,11 @@
 	return nil, nil
 }
 
+// maxLaunchAge is the age of the scheduler's newest word of the agent up to which
+// its orders to start are carried out: a job may be cancelled meanwhile, or started
+// elsewhere after a long silence.
+const maxLaunchAge = 2 * time.Second
+
 // launch starts a task. A refusal means that it certainly does not run.
 func (r *Runner) launch(c context.Context, p *wire.Peer, m *wire.Launch) (wire.Message, error) {
 	t, err := graph.ParseTask(m.Task)
@@ -121,6 +126,10 @@
 	if err := r.obeys(p); err != nil {
 		return StartOrder{}, err
 	}
+	r.touch(m.EchoMS)
+	if age := r.clockMS() - m.EchoMS; age > maxLaunchAge.Milliseconds() {
+		return StartOrder{}, wire.Refuse(wire.CodeExpired, "the order is %d ms old", age)
+	}
 	room := r.facts.Capacity.Sub(r.ledger.Used())
 	switch {
 	case !r.facts.Known || r.facts.Gone || !r.settled:
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -31,11 +31,17 @@
 
 // Time limits towards the worker, which stands on the same machine.
 const (
-	orderTimeout   = 500 * time.Millisecond
-	pollWait       = time.Second
-	pollSlack      = 500 * time.Millisecond
-	retryPause     = 30 * time.Millisecond
-	unnotedPause   = 40 * time.Millisecond
+	orderTimeout  = 500 * time.Millisecond
+	pollWait      = time.Second
+	pollSlack     = 500 * time.Millisecond
+	retryPause    = 30 * time.Millisecond
+	maxRetryPause = 500 * time.Millisecond
+	unnotedPause  = 40 * time.Millisecond
+	// backoffShare of a silence is waited before the next call.
+	backoffShare = 10
+	vacantSlack  = 300 * time.Millisecond
+	// clockDrift is how much slower than ours the worker's clock may run.
+	clockDrift     = 0.02
 	reportInterval = time.Second
 	// fenceJump is added to a token that the worker has found too low: more
 	// than an agent can have raised it in a day.
@@ -86,11 +92,18 @@
 	clock   clock
 	settled bool
 	contact time.Time
-	lead    wire.Lead
-	peer    *wire.Peer
-	seq     uint64
-	wake    chan struct{}
-	news    chan struct{}
+	// born is the zero of the agent's steady clock.
+	born time.Time
+	// silent is since when the worker has not answered, zero while it does, and
+	// vacantAt when all leases that it may have been given have run out.
+	silent   time.Time
+	vacantAt time.Time
+	vacant   bool
+	lead     wire.Lead
+	peer     *wire.Peer
+	seq      uint64
+	wake     chan struct{}
+	news     chan struct{}
 }
 
 // New returns a runner; Run must be called.
@@ -98,13 +111,17 @@
 	if p.Wall == nil {
 		p.Wall = time.Now
 	}
-	return &Runner{
-		p:       p,
-		s:       s,
-		orders:  make(chan struct{}, 1),
-		wake:    make(chan struct{}, 1),
-		news:    make(chan struct{}, 1),
+	r := &Runner{
+		p:      p,
+		s:      s,
+		orders: make(chan struct{}, 1),
+		wake:   make(chan struct{}, 1),
+		news:   make(chan struct{}, 1),
 	}
+	// A former process may have renewed leases until a moment ago.
+	r.born = time.Now()
+	r.vacantAt = time.Now().Add(r.longestLease())
+	return r
 }
 
 // Run holds the worker's lease and reports changes until c ends.
@@ -219,7 +236,7 @@
 			case <-r.wake:
 			}
 		default:
-			if err := r.hold(c, pollWait); err != nil && !pause.For(c, retryPause) {
+			if err := r.hold(c, pollWait); err != nil && !pause.For(c, r.backoff()) {
 				return
 			}
 		}
@@ -246,7 +263,35 @@
 			r.mu.Unlock()
 			return
 		}
-		pause.For(c, retryPause)
+		pause.For(c, r.backoff())
+	}
+}
+
+// backoff returns how long to wait after a call that the worker did not answer:
+// the longer it has been silent, the longer.
+func (r *Runner) backoff() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return min(max(r.silence(time.Now())/backoffShare, retryPause), maxRetryPause)
+}
+
+// silence returns for how long the worker has not answered; r.mu is held.
+func (r *Runner) silence(now time.Time) time.Duration {
+	if r.silent.IsZero() {
+		return 0
+	}
+	return now.Sub(r.silent)
+}
+
+// clockMS returns the agent's steady clock.
+func (r *Runner) clockMS() int64 { return time.Since(r.born).Milliseconds() }
+
+// touch notes a contact with the scheduler, as old as its echo of the agent's
+// clock is; r.mu is held.
+func (r *Runner) touch(echoMS int64) {
+	t := r.born.Add(time.Duration(echoMS) * time.Millisecond)
+	if t.After(r.contact) {
+		r.contact = t
 	}
 }
 
@@ -294,10 +339,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tick(a.ClockMS)
+	r.lookVacant()
 	if err != nil {
+		if r.silent.IsZero() {
+			r.silent = begun
+		}
 		r.holdFailed(o, err)
 		return err
 	}
+	r.silent = time.Time{}
 	a.Listing.Token = o.Token
 	a.Listing.Mark = mark
 	if a.Listing.Born != r.ledger.Born() && a.Listing.Born > r.facts.Born {
@@ -335,10 +385,15 @@
 // new process has had no contact yet, and cannot know how long its predecessor
 // had none. r.mu is held.
 func (r *Runner) until() int64 {
-	if r.clock.at.IsZero() || r.contact.IsZero() {
+	now := time.Now()
+	switch {
+	case r.clock.at.IsZero() || r.contact.IsZero():
+		return 0
+	case r.silence(now) > r.s.Lease:
+		// All has lapsed there; renewing would only hide it.
 		return 0
 	}
-	now := time.Now()
+	r.vacantAt = now.Add(r.longestLease())
 	end := now.Add(r.s.Lease)
 	if last := r.contact.Add(r.s.Tolerance); last.Before(end) {
 		end = last
@@ -346,6 +401,26 @@
 	return r.clock.now(end)
 }
 
+// longestLease returns how long a lease may last by a slow clock.
+func (r *Runner) longestLease() time.Duration {
+	return time.Duration(float64(r.s.Lease)*(1+clockDrift)) + vacantSlack
+}
+
+// lookVacant notes when nothing can be running at a worker that does not answer;
+// r.mu is held.
+func (r *Runner) lookVacant() {
+	v := time.Now().After(r.vacantAt)
+	if v == r.vacant {
+		return
+	}
+	r.vacant = v
+	if v {
+		r.ledger.Clear()
+	}
+	r.p.Log.WithField("vacant", v).Info("worker_silence_changed")
+	r.changed()
+}
+
 func (r *Runner) reportLoop(c context.Context) {
 	t := time.NewTicker(reportInterval)
 	defer t.Stop()
@@ -384,6 +459,8 @@
 		Settled: r.settled,
 		Worker:  r.facts,
 		WallMS:  r.p.Wall().UnixMilli(),
+		Vacant:  r.vacant,
+		AgentMS: r.clockMS(),
 	}
 	for _, v := range r.ledger.Runs() {
 		s.Runs = append(s.Runs, wire.RunState{
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -57,7 +57,9 @@
 
 // Standing is all that an agent knows of its worker. Of two, the one with the
 // higher Seq is newer. WallMS is the agent's clock of the day. Settled is false
-// while earlier orders of the agent may still take effect.
+// while earlier orders of the agent may still take effect. Vacant means that
+// nothing can be running at the worker, though it does not answer. AgentMS is the
+// agent's steady clock.
 type Standing struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Seq      uint64
@@ -67,21 +69,27 @@
 	Runs     []RunState
 	Ends     []EndState
 	WallMS   int64
+	Vacant   bool
+	AgentMS  int64
 }
 
-// Ping renews the scheduler's contact with an agent. The reply is Pong.
+// Ping renews the scheduler's contact with an agent. EchoMS is the newest AgentMS
+// that the scheduler has heard, so that the agent knows how old the contact is,
+// however long the message was under way. The reply is Pong.
 type Ping struct {
 	_msgpack struct{} `msgpack:",as_array"`
+	EchoMS   int64
 }
 
-// Pong is the reply to Ping, with the agent's clock of the day.
+// Pong is the reply to Ping, with the agent's clock of the day and its steady one.
 type Pong struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	WallMS   int64
+	AgentMS  int64
 }
 
-// Launch asks an agent to start a task. The reply is Launched, or a refusal
-// after which it certainly does not run.
+// Launch asks an agent to start a task; EchoMS is as in Ping. The reply is
+// Launched, or a refusal after which it certainly does not run.
 type Launch struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Task     string
@@ -90,6 +98,7 @@
 	Saved    string
 	Ticket   string
 	Size     graph.Size
+	EchoMS   int64
 }
 
 // Launched says that a task runs; standings from Seq on list it.
