--- a/cmd/hemlockhinge/main.go
+++ b/cmd/hemlockhinge/main.go
@@ -84,6 +84,7 @@
 		entryCommand(),
 		agentCommand(),
 		devCommand(),
+		demoCommand(),
 		checkCommand(),
 		getCommand(),
 		applyCommand(),
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -26,6 +26,12 @@
 	if err == nil {
 		_, err = p.AddCommand("worker", "Run a worker", workerHelp, &workerRun{})
 	}
+	if err == nil {
+		_, err = p.AddCommand("users-store", "Run the store of the users' platform", usersStoreHelp, &usersStoreRun{})
+	}
+	if err == nil {
+		_, err = p.AddCommand("users-worker", "Run a worker of the users' platform", usersWorkerHelp, &usersWorkerRun{})
+	}
 	if err == nil {
 		_, err = p.Parse()
 	}
--- a/intake/query.go
+++ b/intake/query.go
@@ -139,25 +139,36 @@
 	if err != nil {
 		return "", "", err
 	}
-	i, err = d.p.Store.Get(c, leader.ProgressKey(id))
-	if err != nil && !errors.As(err, &none) {
-		return "", "", err
-	}
-	if err == nil {
-		p, err := leader.DecodeProgress(i.Value)
-		if err != nil {
-			return "", "", err
-		}
-		if p.State.Final() {
-			return p.State, j.Queue, nil
-		}
+	s, err := d.storedProgress(c, id)
+	if err != nil || s.Final() {
+		return s, j.Queue, err
 	}
 	_, err = d.p.Store.Get(c, leader.CancelKey(id))
 	switch {
 	case err == nil:
 		return graph.Cancelled, j.Queue, nil
 	case errors.As(err, &none):
-		return graph.Queued, j.Queue, nil
+		return s, j.Queue, nil
 	}
 	return "", "", err
 }
+
+// storedProgress reads how far a job has come by the store's word.
+func (d *Intake) storedProgress(c context.Context, id string) (graph.State, error) {
+	i, err := d.p.Store.Get(c, leader.ProgressKey(id))
+	var none *store.NotFoundError
+	if errors.As(err, &none) {
+		return graph.Queued, nil
+	}
+	if err != nil {
+		return "", err
+	}
+	p, err := leader.DecodeProgress(i.Value)
+	switch {
+	case err != nil:
+		return "", err
+	case p.State == graph.Queued && p.Started:
+		return graph.Running, nil
+	}
+	return p.State, nil
+}
--- a/leader/member.go
+++ b/leader/member.go
@@ -319,7 +319,7 @@
 		}
 		j.runs[k] = r
 		m.runs[k] = r
-		j.prog.Started = true
+		j.begin()
 		t.log.WithFields(logrus.Fields{"task": k.String(), "attempt": v.Attempt, "agent": m.addr}).Info("run_found")
 	}
 	if r.at != m || r.attempt != v.Attempt {
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -338,7 +338,7 @@
 		r.phase = running
 		r.seq = v.Seq
 		r.doubt = false
-		j.prog.Started = true
+		j.begin()
 	case errors.As(err, &f):
 		t.log.WithFields(logrus.Fields{"task": r.task.String(), "attempt": r.attempt, "agent": r.at.addr, "code": f.Code.String()}).WithError(err).Warn("run_refused")
 		delete(j.runs, r.task)
@@ -352,6 +352,15 @@
 	}
 }
 
+// begin notes that a task of the job has started, so that its state says so also
+// after a change of the scheduler.
+func (j *job) begin() {
+	if !j.prog.Started {
+		j.prog.Started = true
+		j.version++
+	}
+}
+
 // startOutcome names how a start went.
 func startOutcome(err error) string {
 	var f *wire.RefusedError
