--- /dev/null
+++ b/intake/dump.go
@@ -0,0 +1,42 @@
+package intake
+
+import (
+	"slices"
+	"time"
+)
+
+// Dump is what an intake believes, for operators.
+type Dump struct {
+	Version     int64    `json:"configuration_version"`
+	Revision    uint64   `json:"configuration_revision"`
+	ConfirmedMS int64    `json:"confirmed_ms_ago"`
+	Queues      int      `json:"queues"`
+	Customers   int      `json:"customers"`
+	Out         []string `json:"failure_domains_out"`
+	Ready       string   `json:"ready"`
+}
+
+// Dump returns what the intake believes.
+func (d *Intake) Dump() Dump {
+	ready := "yes"
+	if err := d.Ready(); err != nil {
+		ready = err.Error()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := Dump{
+		ConfirmedMS: time.Since(d.confirmed).Milliseconds(),
+		Ready:       ready,
+	}
+	if d.config != nil {
+		v.Version = d.config.Version
+		v.Revision = d.config.Revision
+		v.Queues = len(d.config.Queues)
+		v.Customers = len(d.config.Customers)
+	}
+	for z := range d.out {
+		v.Out = append(v.Out, z)
+	}
+	slices.Sort(v.Out)
+	return v
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -49,6 +49,8 @@
 	// claim means that the job is within what its customer is guaranteed.
 	claim   bool
 	evicted int
+	// endedAt is when this term saw that nothing of the job is left to do.
+	endedAt time.Time
 	// again is when a step whose start was refused may be tried again.
 	again map[graph.Task]time.Time
 	// bumped are the tasks that this term has started before.
@@ -153,6 +155,7 @@
 	}
 	t.group.Go(func() { m.Run(c) })
 	t.group.Go(func() { t.flushLoop(c) })
+	t.group.Go(func() { t.expireLoop(c) })
 	t.passLoop(c)
 	t.group.Wait()
 }
@@ -343,15 +346,20 @@
 	if j == nil {
 		return "", ""
 	}
+	return j.state(), j.Queue
+}
+
+// state returns where the job stands, as callers may see it.
+func (j *job) state() graph.State {
 	switch {
 	case j.shown.Final():
-		return j.shown, j.Queue
+		return j.shown
 	case j.cancelled:
-		return graph.Cancelled, j.Queue
+		return graph.Cancelled
 	case j.prog.Started:
-		return graph.Running, j.Queue
+		return graph.Running
 	}
-	return graph.Queued, j.Queue
+	return graph.Queued
 }
 
 func (t *term) pending(queue string) int {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -451,6 +451,19 @@
 	}
 }
 
+// Dump returns all that is known of the worker, for operators.
+func (r *Runner) Dump() any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return struct {
+		Standing  *wire.Standing `json:"standing"`
+		Leader    string         `json:"leader"`
+		Epoch     uint64         `json:"epoch"`
+		ContactMS int64          `json:"contact_ms_ago"`
+		Token     fence.Token    `json:"token"`
+	}{r.standing(), r.lead.Leader, r.lead.Epoch, time.Since(r.contact).Milliseconds(), r.ledger.Token()}
+}
+
 // standing returns all that is known of the worker; r.mu is held.
 func (r *Runner) standing() *wire.Standing {
 	s := &wire.Standing{
