--- a/cmd/hemlockhinge/demo.go
+++ b/cmd/hemlockhinge/demo.go
@@ -39,7 +39,7 @@
 	demoEntries = []string{"10.0.0.1", "10.0.0.2"}
 	demoWorkers = []string{"10.1.0.1", "10.1.0.2", "10.2.0.1", "10.2.0.2", "10.3.0.1", "10.3.0.2"}
 	demoSize    = stand.Size{
-		Cpu:   64000,
+		CPU:   64000,
 		MemMb: 262144,
 		Gpu:   8,
 	}
@@ -81,7 +81,7 @@
 		Spec: "demo",
 		Phases: []stand.Phase{{
 			Count:      i + 1,
-			Cpu:        1000,
+			CPU:        1000,
 			MemMb:      1000,
 			Gpu:        4,
 			EstimateMs: 3000 + 1000*i,
--- a/cmd/standin/users.go
+++ b/cmd/standin/users.go
@@ -97,7 +97,7 @@
 		Zone:    r.Zone,
 		Labels:  []string{"a", r.Rack},
 		Capacity: stand.Size{
-			Cpu:   usersCores,
+			CPU:   usersCores,
 			MemMb: usersMemory,
 			Gpu:   usersAccelerators,
 		},
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -86,8 +86,8 @@
 	}
 }
 
-func later(format string, a ...any) *Error {
-	e := fail(http.StatusServiceUnavailable, format, a...)
+func later(detail string) *Error {
+	e := fail(http.StatusServiceUnavailable, "%s", detail)
 	e.RetryAfter = retryAfter
 	return e
 }
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -22,6 +23,13 @@
 	return s.Buffer.Write(b)
 }
 
+func write(t *testing.T, w io.Writer, line string) {
+	t.Helper()
+	if _, err := io.WriteString(w, line); err != nil {
+		t.Errorf("writing %q: %v", line, err)
+	}
+}
+
 func TestBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
@@ -31,10 +39,10 @@
 			Burst:     5,
 		}, func(n int) { told += n })
 		for i := range 20 {
-			fmt.Fprintf(w, "line %d\n", i)
+			write(t, w, fmt.Sprintf("line %d\n", i))
 		}
 		time.Sleep(time.Second)
-		fmt.Fprintf(w, "after\n")
+		write(t, w, "after\n")
 		w.Close()
 		if n := strings.Count(out.String(), "line "); n != 5 {
 			t.Errorf("%d lines of a burst of 5", n)
@@ -56,7 +64,7 @@
 		}, nil)
 		begun := time.Now()
 		for range 10_000 {
-			fmt.Fprintln(w, "x")
+			write(t, w, "x\n")
 		}
 		if d := time.Since(begun); d > 0 {
 			t.Errorf("writing took %s", d)
