--- a/leader/flush.go
+++ b/leader/flush.go
@@ -157,7 +157,6 @@
 		v.job.saved = revision
 		if v.job.version == v.version {
 			v.job.shown = v.job.prog.State
-			v.job.urgent = false
 		}
 		if v.job.shown.Final() {
 			t.logEnd(v.job)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -53,8 +53,6 @@
 	StopTime time.Duration
 	// Reclaim is when a claim must have begun; zero means no bound.
 	Reclaim time.Duration
-	// Early is how long before its time an occurrence may start.
-	Early time.Duration
 	// Kept is how long an ended job is shown.
 	Kept time.Duration
 }
--- a/leader/member.go
+++ b/leader/member.go
@@ -326,10 +326,7 @@
 		t.estrange(m, k, v, z)
 		return
 	}
-	if r.saved != v.Saved {
-		r.saved = v.Saved
-		r.savedAt = time.Now()
-	}
+	r.saved = v.Saved
 	r.pace.see(v.Percent, time.Now())
 	if r.doubt && !v.Uncertain {
 		r.doubt = false
@@ -403,7 +400,6 @@
 	j.version++
 	if j.prog.State.Final() {
 		j.prog.EndedMS = t.l.p.Wall().UnixMilli()
-		j.urgent = true
 		poke(t.save)
 	}
 	f["state"] = j.prog.State
--- a/leader/pace.go
+++ b/leader/pace.go
@@ -6,8 +6,8 @@
 
 // Rules by which the pace of a run is measured.
 const (
-	whole      = 100
-	paceWindow = 900 * time.Millisecond
+	fullPercent = 100
+	paceWindow  = 900 * time.Millisecond
 	// minPercent is the progress from which a run's time can be told.
 	minPercent = 4
 )
@@ -47,7 +47,7 @@
 		return 0, false
 	}
 	ran := p.at.Sub(begun)
-	total := time.Duration(float64(ran) * whole / float64(p.percent))
+	total := time.Duration(float64(ran) * fullPercent / float64(p.percent))
 	return max(total-now.Sub(begun), 0), true
 }
 
@@ -60,5 +60,5 @@
 	if p.rate <= 0 {
 		return time.Hour, true
 	}
-	return time.Duration(whole / p.rate * float64(time.Second)), true
+	return time.Duration(fullPercent / p.rate * float64(time.Second)), true
 }
--- a/leader/term.go
+++ b/leader/term.go
@@ -44,8 +44,6 @@
 	// saved is the revision of the progress in the store, 0 for none.
 	saved uint64
 	shown graph.State
-	// urgent means that a caller waits for the store to have the change.
-	urgent bool
 	// claim means that the job is within what its customer is guaranteed.
 	claim   bool
 	evicted int
@@ -78,11 +76,10 @@
 	// doubt means that the start's reply was lost with the session.
 	doubt bool
 	// seq is the agent's first standing that must list the run.
-	seq     uint64
-	begun   time.Time
-	saved   string
-	savedAt time.Time
-	pace    pace
+	seq   uint64
+	begun time.Time
+	saved string
+	pace  pace
 	// resumed runs began from a checkpoint.
 	resumed  bool
 	halting  bool
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,120 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hemlockhinge/mirror"
+	"hemlockhinge/store"
+)
+
+// scripted is a store whose watch answers are given.
+type scripted struct {
+	store.Port
+	lists   []store.Page
+	watches []func() (store.Page, error)
+}
+
+func (s *scripted) List(context.Context, string, string) (store.Page, error) {
+	p := s.lists[0]
+	if len(s.lists) > 1 {
+		s.lists = s.lists[1:]
+	}
+	return p, nil
+}
+
+func (s *scripted) Watch(c context.Context, _ string, _ uint64) (store.Page, error) {
+	if len(s.watches) == 0 {
+		<-c.Done()
+		return store.Page{}, c.Err()
+	}
+	f := s.watches[0]
+	s.watches = s.watches[1:]
+	return f()
+}
+
+func put(key string, rev uint64) store.Item {
+	return store.Item{
+		Key:      key,
+		Revision: rev,
+	}
+}
+
+func page(rev uint64, items ...store.Item) store.Page {
+	return store.Page{
+		Revision: rev,
+		Items:    items,
+	}
+}
+
+func answer(p store.Page, err error) func() (store.Page, error) {
+	return func() (store.Page, error) { return p, err }
+}
+
+func TestMirror(t *testing.T) {
+	gone := store.Item{
+		Key:      "b",
+		Revision: 4,
+		Deleted:  true,
+	}
+	cases := []struct {
+		name  string
+		store scripted
+		want  string
+	}{
+		{"changes in order", scripted{
+			lists:   []store.Page{page(2, put("a", 1), put("b", 2))},
+			watches: []func() (store.Page, error){answer(page(4, put("a", 3), gone), nil)},
+		}, "a1 b2 listed a3 -b"},
+		{"history that is gone", scripted{
+			lists:   []store.Page{page(2, put("a", 1), put("b", 2)), page(9, put("a", 7))},
+			watches: []func() (store.Page, error){answer(store.Page{}, &store.CompactedError{})},
+		}, "a1 b2 listed a7 -b listed"},
+		{"an outage", scripted{
+			lists: []store.Page{page(2, put("a", 1))},
+			watches: []func() (store.Page, error){
+				answer(store.Page{}, &store.UnavailableError{Err: errors.New("out")}),
+				answer(page(3, put("a", 1), put("c", 3)), nil),
+			},
+		}, "a1 listed c3"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { assertSeen(t, &c.store, c.want) })
+		})
+	}
+}
+
+// assertSeen follows a store and compares what was reported.
+func assertSeen(t *testing.T, s *scripted, want string) {
+	t.Helper()
+	g := logrus.New()
+	g.SetOutput(io.Discard)
+	var seen []string
+	m := mirror.Mirror{
+		Store:  s,
+		Prefix: "",
+		Log:    logrus.NewEntry(g),
+		Apply: func(i store.Item) {
+			if i.Deleted {
+				seen = append(seen, "-"+i.Key)
+				return
+			}
+			seen = append(seen, i.Key+string(rune('0'+i.Revision)))
+		},
+		Listed: func() { seen = append(seen, "listed") },
+	}
+	c, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	m.Run(c)
+	if got := strings.Join(seen, " "); got != want {
+		t.Errorf("seen %q, not %q", got, want)
+	}
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,60 @@
+package policy_test
+
+import (
+	"testing"
+
+	"hemlockhinge/policy"
+)
+
+func config() *policy.Config {
+	return &policy.Config{
+		Queues: []policy.Queue{
+			{Name: "short", Host: "a.example", Prefix: "/x/"},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+			{Name: "other", Host: "b.example", Prefix: "/x/"},
+		},
+		Customers: []policy.Customer{
+			{Name: "one", Keys: []string{"k1", "k2"}, Guaranteed: 8},
+			{Name: "two", Keys: []string{"k3", ""}},
+		},
+	}
+}
+
+func TestMatch(t *testing.T) {
+	cases := []struct {
+		host, path  string
+		queue, rest string
+	}{
+		{"a.example", "/x/1", "short", "1"},
+		{"a.example", "/x/y/1", "long", "1"},
+		{"A.Example", "/x/y/", "long", ""},
+		{"b.example", "/x/y/1", "other", "y/1"},
+		{"c.example", "/x/1", "", ""},
+		{"a.example", "/z", "", ""},
+	}
+	for _, c := range cases {
+		q, rest, ok := config().Match(c.host, c.path)
+		name := ""
+		if ok {
+			name = q.Name
+		}
+		if name != c.queue || rest != c.rest {
+			t.Errorf("%s%s leads to %q, rest %q", c.host, c.path, name, rest)
+		}
+	}
+}
+
+func TestCustomers(t *testing.T) {
+	c := config()
+	for key, want := range map[string]string{"k2": "one", "k3": "two", "k4": "", "": ""} {
+		if n, ok := c.CustomerOf(key); n != want || ok != (want != "") {
+			t.Errorf("key %q belongs to %q, %t", key, n, ok)
+		}
+	}
+	if c.Guaranteed("one") != 8 || c.Guaranteed("nobody") != 0 {
+		t.Error("guarantees are wrong")
+	}
+	if c.Queue("long") == nil || c.Queue("none") != nil {
+		t.Error("queues by name are wrong")
+	}
+}
