--- a/leader/member.go
+++ b/leader/member.go
@@ -262,7 +262,8 @@
 }
 
 // dropUnlisted takes in that runs are over which an agent does not list. Only an
-// agent that has settled all its orders, and has heard its worker, can tell.
+// agent that has settled all its orders and has heard its worker, or whose worker's
+// leases have all run out, can tell.
 func (t *term) dropUnlisted(m *member, seq uint64, listed map[graph.Task]bool) {
 	for k := range m.alien {
 		if !listed[k] {
@@ -304,25 +305,10 @@
 	}
 	z := j.Steps[k.Step].Size
 	r := j.runs[k]
-	if r == nil {
-		r = &run{
-			task:    k,
-			attempt: v.Attempt,
-			at:      m,
-			size:    z,
-			phase:   running,
-			begun:   time.Now(),
-		}
-		if p := j.prog.Of(j.Job, k); p == nil || p.Done || !j.live() {
-			t.estrange(m, k, v, z)
-			return
-		}
-		j.runs[k] = r
-		m.runs[k] = r
-		j.begin()
-		t.log.WithFields(logrus.Fields{"task": k.String(), "attempt": v.Attempt, "agent": m.addr}).Info("run_found")
+	if p := j.prog.Of(j.Job, k); r == nil && p != nil && !p.Done && j.live() {
+		r = t.adopt(j, m, k, v)
 	}
-	if r.at != m || r.attempt != v.Attempt {
+	if r == nil || r.at != m || r.attempt != v.Attempt {
 		t.estrange(m, k, v, z)
 		return
 	}
@@ -340,6 +326,23 @@
 	}
 }
 
+// adopt takes over a run that an earlier term has started.
+func (t *term) adopt(j *job, m *member, k graph.Task, v wire.RunState) *run {
+	r := &run{
+		task:    k,
+		attempt: v.Attempt,
+		at:      m,
+		size:    j.Steps[k.Step].Size,
+		phase:   running,
+		begun:   time.Now(),
+	}
+	j.runs[k] = r
+	m.runs[k] = r
+	j.begin()
+	t.log.WithFields(logrus.Fields{"task": k.String(), "attempt": v.Attempt, "agent": m.addr}).Info("run_found")
+	return r
+}
+
 // estrange notes a run that should not be there; it is stopped.
 func (t *term) estrange(m *member, k graph.Task, v wire.RunState, z graph.Size) {
 	a, old := m.alien[k]
