Use one copy of what the platform's code had written again

Mended, behaviour as it was: - metrics, dump and readiness are served by admin.New, which had all three; platform/ had its own handlers beside it (the probe's answers now have a body, which the platform does not read); - store.Unavailable replaces four constructors of the same error; - fence.ClockDrift, pause.Wake, wire.NoCalls and admin.Bare replace two to four copies each; - progress kept the time of a job's end, which nothing read; - what an adviser said of a job's steps is forgotten with the job; it was kept for the whole term.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -33,11 +33,17 @@
 	Ready func() error
 }
 
-// New returns an echo with the routes that all daemons share.
-func New(p Probe, r *prometheus.Registry) *echo.Echo {
+// Bare returns an echo without routes, which prints nothing.
+func Bare() *echo.Echo {
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
+	return e
+}
+
+// New returns an echo with the routes that all daemons share.
+func New(p Probe, r *prometheus.Registry) *echo.Echo {
+	e := Bare()
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", func(c echo.Context) error {
 		if err := p.Ready(); err != nil {
--- a/cmd/hemlockhinge/platform.go
+++ b/cmd/hemlockhinge/platform.go
@@ -9,7 +9,6 @@
 	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
 	"hemlockhinge/logs"
@@ -49,10 +48,10 @@
 	c, d := untilSignal()
 	onHangup(c, g)
 	return run(c, d, platform.Ports{
-		Net:     wire.TCP{},
-		Log:     g,
-		Meter:   m,
-		Metrics: promhttp.HandlerFor(r, promhttp.HandlerOpts{}),
+		Net:      wire.TCP{},
+		Log:      g,
+		Meter:    m,
+		Registry: r,
 	}, s)
 }
 
--- a/fakes/serve.go
+++ b/fakes/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"hemlockhinge/admin"
 	"hemlockhinge/store"
 	"hemlockhinge/worker"
 )
@@ -82,9 +83,7 @@
 }
 
 func newEcho() *echo.Echo {
-	e := echo.New()
-	e.HideBanner = true
-	e.HidePort = true
+	e := admin.Bare()
 	return e
 }
 
--- a/fakes/store.go
+++ b/fakes/store.go
@@ -120,15 +120,15 @@
 		defer t.Stop()
 		select {
 		case <-c.Done():
-			return unavailable(op, key, false, c.Err())
+			return store.Unavailable(op, key, false, c.Err())
 		case <-t.C:
 		}
 	}
 	if out {
-		return unavailable(op, key, false, errOut)
+		return store.Unavailable(op, key, false, errOut)
 	}
 	if lim {
-		return unavailable(op, key, true, errRate)
+		return store.Unavailable(op, key, true, errRate)
 	}
 	return nil
 }
@@ -147,20 +147,11 @@
 	return true
 }
 
-func unavailable(op, key string, refused bool, err error) error {
-	return &store.UnavailableError{
-		Op:      op,
-		Key:     key,
-		Refused: refused,
-		Err:     err,
-	}
-}
-
 // end applies the switches that come after a write's effect.
 func (s *Store) end(op, key string) error {
 	if s.lose > 0 {
 		s.lose--
-		return unavailable(op, key, false, errLost)
+		return store.Unavailable(op, key, false, errLost)
 	}
 	return nil
 }
@@ -323,7 +314,7 @@
 		}
 		select {
 		case <-c.Done():
-			return store.Page{}, unavailable("watch", prefix, false, c.Err())
+			return store.Page{}, store.Unavailable("watch", prefix, false, c.Err())
 		case <-t.C:
 			return p, nil
 		case <-w:
@@ -338,7 +329,7 @@
 		Revision: s.rev,
 	}
 	if s.out {
-		return p, nil, unavailable("watch", prefix, false, errOut)
+		return p, nil, store.Unavailable("watch", prefix, false, errOut)
 	}
 	if rev < s.floor {
 		return p, nil, &store.CompactedError{
--- a/fence/fence.go
+++ b/fence/fence.go
@@ -22,6 +22,10 @@
 	"hemlockhinge/graph"
 )
 
+// ClockDrift is how much slower than ours a worker's steady clock may run: a lease
+// of its clock lasts that much longer.
+const ClockDrift = 0.02
+
 // Token fences orders to a worker. It rises with each uncertain order and each
 // life of the agent.
 type Token int64
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -63,8 +63,6 @@
 	State   State          `msgpack:"s"`
 	Started bool           `msgpack:"b,omitempty"`
 	Tasks   []TaskProgress `msgpack:"t"`
-	// EndedMS is the Unix millisecond of the final state, for its removal.
-	EndedMS int64 `msgpack:"e,omitempty"`
 	open    int
 }
 
--- a/intake/query.go
+++ b/intake/query.go
@@ -52,9 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := wire.NewPeer(n, wire.HandlerFunc(func(context.Context, *wire.Peer, wire.Message) (wire.Message, error) {
-		return nil, wire.Refuse(wire.CodeUnknown, "this side takes no calls")
-	}))
+	p := wire.NewPeer(n, wire.NoCalls)
 	q.group.Go(func() { _ = p.Run(context.Background()) })
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/leader/member.go
+++ b/leader/member.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/fence"
 	"hemlockhinge/graph"
 	"hemlockhinge/pause"
 	"hemlockhinge/store"
@@ -20,8 +21,6 @@
 	pingInterval = 500 * time.Millisecond
 	pingTimeout  = 800 * time.Millisecond
 	redialPause  = 150 * time.Millisecond
-	// clockDrift is how much slower than ours a worker's clock may run.
-	clockDrift   = 0.02
 	silenceSlack = 500 * time.Millisecond
 )
 
@@ -87,7 +86,7 @@
 		return
 	}
 	if m != nil {
-		poke(m.redial)
+		pause.Wake(m.redial)
 		return
 	}
 	c, cancel := context.WithCancel(t.ctx)
@@ -226,7 +225,7 @@
 // over reports whether the worker of a silent agent has certainly ended all
 // that it ran: the agent renews leases only while it hears a scheduler.
 func (t *term) over(m *member, now time.Time) bool {
-	limit := time.Duration(float64(t.l.s.Tolerance)*(1+clockDrift)) + silenceSlack
+	limit := time.Duration(float64(t.l.s.Tolerance)*(1+fence.ClockDrift)) + silenceSlack
 	return m.peer == nil && now.Sub(m.heard) > limit
 }
 
@@ -402,8 +401,7 @@
 	}
 	j.version++
 	if j.prog.State.Final() {
-		j.prog.EndedMS = t.l.p.Wall().UnixMilli()
-		poke(t.save)
+		pause.Wake(t.save)
 	}
 	f["state"] = j.prog.State
 	t.log.WithFields(f).Info("run_ended")
--- a/leader/term.go
+++ b/leader/term.go
@@ -157,14 +157,7 @@
 	t.group.Wait()
 }
 
-func (t *term) poke() { poke(t.wake) }
-
-func poke(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
+func (t *term) poke() { pause.Wake(t.wake) }
 
 func (t *term) loaded() bool {
 	t.mu.Lock()
@@ -276,9 +269,27 @@
 	t.end()
 }
 
+// forget drops all that is known of a job.
+func (t *term) forget(id string) {
+	j := t.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(t.jobs, id)
+	for k := range j.Occurrences() {
+		for s := range j.Steps {
+			t.book.Forget(graph.Task{
+				Job:        id,
+				Occurrence: k,
+				Step:       s,
+			}.StepName())
+		}
+	}
+}
+
 func (t *term) applyJob(id string, i store.Item) {
 	if i.Deleted {
-		delete(t.jobs, id)
+		t.forget(id)
 		return
 	}
 	if t.jobs[id] != nil || t.deposed {
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -12,6 +12,15 @@
 	"time"
 )
 
+// Wake wakes the one goroutine that waits on c, a channel of capacity one, now or
+// when it next waits.
+func Wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // For waits for d and reports whether c is still alive.
 func For(c context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -28,13 +28,7 @@
 	return decode(r)
 }
 
-func unavailable(err error, refused bool) error {
-	return &store.UnavailableError{
-		Op:      "relay",
-		Refused: refused,
-		Err:     err,
-	}
-}
+func unavailable(err error, refused bool) error { return store.Unavailable("relay", "", refused, err) }
 
 // connect returns a connection to a peer; the one that answered last is asked
 // first.
@@ -67,9 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := wire.NewPeer(n, wire.HandlerFunc(func(context.Context, *wire.Peer, wire.Message) (wire.Message, error) {
-		return nil, wire.Refuse(wire.CodeUnknown, "this side takes no calls")
-	}))
+	p := wire.NewPeer(n, wire.NoCalls)
 	s.group.Go(func() { _ = p.Run(context.Background()) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockhinge/graph"
+	"hemlockhinge/pause"
 	"hemlockhinge/wire"
 )
 
@@ -81,7 +82,7 @@
 		return nil, err
 	}
 	r.ledger.Note(m.Born, m.Through)
-	poke(r.wake)
+	pause.Wake(r.wake)
 	return nil, nil
 }
 
@@ -157,7 +158,7 @@
 	if err == nil {
 		r.ledger.Confirm(t, m.Attempt)
 		r.changed()
-		poke(r.wake)
+		pause.Wake(r.wake)
 		return &wire.Launched{
 			Seq: r.seq,
 		}, nil
@@ -167,7 +168,7 @@
 	if reason(err) == ReasonFence {
 		r.ledger.Raise(r.ledger.Token() + fenceJump)
 		r.settled = false
-		poke(r.wake)
+		pause.Wake(r.wake)
 	}
 	return nil, wire.Refuse(codeOf(reason(err)), "%v", err)
 }
@@ -185,7 +186,7 @@
 	if !runs {
 		return nil, wire.Refuse(wire.CodeLost, "the start got no answer and did not take effect")
 	}
-	poke(r.wake)
+	pause.Wake(r.wake)
 	return &wire.Launched{
 		Seq: r.seq,
 	}, nil
@@ -222,7 +223,7 @@
 		r.p.Log.WithError(err).WithFields(logrus.Fields{"task": m.Task, "attempt": m.Attempt}).Warn("stop_failed")
 		return nil, wire.Refuse(codeOf(reason(err)), "%v", err)
 	}
-	poke(r.wake)
+	pause.Wake(r.wake)
 	return nil, nil
 }
 
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -186,7 +186,7 @@
 
 // longestLease returns how long a lease may last by a slow clock.
 func (r *Runner) longestLease() time.Duration {
-	return time.Duration(float64(r.s.Lease)*(1+clockDrift)) + vacantSlack
+	return time.Duration(float64(r.s.Lease)*(1+fence.ClockDrift)) + vacantSlack
 }
 
 // lookVacant notes when nothing can be running at a worker that does not answer;
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -25,6 +25,7 @@
 
 	"hemlockhinge/fence"
 	"hemlockhinge/meter"
+	"hemlockhinge/pause"
 	"hemlockhinge/wire"
 )
 
@@ -37,10 +38,8 @@
 	maxRetryPause = 500 * time.Millisecond
 	unnotedPause  = 40 * time.Millisecond
 	// backoffShare of a silence is waited before the next call.
-	backoffShare = 10
-	vacantSlack  = 300 * time.Millisecond
-	// clockDrift is how much slower than ours the worker's clock may run.
-	clockDrift     = 0.02
+	backoffShare   = 10
+	vacantSlack    = 300 * time.Millisecond
 	reportInterval = time.Second
 	// fenceJump is added to a token that the worker has found too low: more
 	// than an agent can have raised it in a day.
@@ -195,21 +194,14 @@
 		return false
 	}
 	r.settled = false
-	poke(r.wake)
+	pause.Wake(r.wake)
 	return true
 }
 
 // changed counts a change that the scheduler must hear of; r.mu is held.
 func (r *Runner) changed() {
 	r.seq++
-	poke(r.news)
-}
-
-func poke(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
+	pause.Wake(r.news)
 }
 
 // clockMS returns the agent's steady clock.
--- a/store/client.go
+++ b/store/client.go
@@ -55,12 +55,12 @@
 	}
 	p, err := s.http.Do(r)
 	if err != nil {
-		return reply{}, unavailable(op, key, false, err)
+		return reply{}, Unavailable(op, key, false, err)
 	}
 	defer func() { _ = p.Body.Close() }()
 	b, err := io.ReadAll(p.Body)
 	if err != nil {
-		return reply{}, unavailable(op, key, false, err)
+		return reply{}, Unavailable(op, key, false, err)
 	}
 	n, _ := strconv.ParseUint(p.Header.Get(RevisionHeader), 10, 64)
 	v := reply{
@@ -71,7 +71,9 @@
 	return v, v.err(op, key)
 }
 
-func unavailable(op, key string, refused bool, err error) error {
+// Unavailable returns the error of a call without an answer, or of one that was
+// refused.
+func Unavailable(op, key string, refused bool, err error) error {
 	return &UnavailableError{
 		Op:      op,
 		Key:     key,
@@ -102,9 +104,9 @@
 			Key: key,
 		}
 	case http.StatusTooManyRequests:
-		return unavailable(op, key, true, errors.New("rate limit of the store"))
+		return Unavailable(op, key, true, errors.New("rate limit of the store"))
 	}
-	return unavailable(op, key, false, fmt.Errorf("status %d: %s", r.status, r.body))
+	return Unavailable(op, key, false, fmt.Errorf("status %d: %s", r.status, r.body))
 }
 
 // Get implements Port.
@@ -170,7 +172,7 @@
 		return p, err
 	}
 	if err := json.Unmarshal(r.body, &p); err != nil {
-		return p, unavailable(op, prefix, false, err)
+		return p, Unavailable(op, prefix, false, err)
 	}
 	return p, nil
 }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -27,6 +27,11 @@
 	return f(c, p, m)
 }
 
+// NoCalls is the handler of a side that only calls.
+var NoCalls = HandlerFunc(func(context.Context, *Peer, Message) (Message, error) {
+	return nil, Refuse(CodeUnknown, "this side takes no calls")
+})
+
 // ClosedError says that a connection ended before the reply came. Whether the
 // call took effect is unknown.
 type ClosedError struct {
