Send no write to a store that has gone quiet; let Retry-After grow with the outage

Change: a write is sent only when the store has answered within 200 ms, or answers a read first. Retry-After is the age of the outage, 1 s to 4 s.

Ruled out: an earlier confirmation in the background (500 ms) leaves a window of its length; 503 after a lost answer would be untrue.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -39,8 +40,12 @@
 const (
 	ConfirmAge = 1200 * time.Millisecond
 	retryPause = 40 * time.Millisecond
-	// retryAfter is when a caller may try again after a short outage.
-	retryAfter = time.Second
+)
+
+// Limits of the wait that refused callers are told.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 4 * time.Second
 )
 
 // Objects reads what operators write: Decode their configuration, and Out the
@@ -86,9 +91,16 @@
 	}
 }
 
-func later(detail string) *Error {
+// later refuses a call that may be served once the store is back. Of an outage
+// nothing is known but its age, and it is expected to last as long again.
+func (d *Intake) later(detail string) *Error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	e := fail(http.StatusServiceUnavailable, "%s", detail)
-	e.RetryAfter = retryAfter
+	e.RetryAfter = minRetryAfter
+	if !d.failing.IsZero() {
+		e.RetryAfter = min(max(time.Since(d.failing), minRetryAfter), maxRetryAfter)
+	}
 	return e
 }
 
@@ -122,7 +134,8 @@
 	config    *policy.Config
 	out       map[string]bool
 	confirmed time.Time
-	reached   bool
+	// failing is since when the store has not answered, zero while it does.
+	failing time.Time
 	// confirm is full while the configuration is being confirmed.
 	confirm chan struct{}
 }
@@ -232,13 +245,8 @@
 		if _, ok := d.fresh(ConfirmAge); ok {
 			continue
 		}
-		err := d.ask(c)
-		d.mu.Lock()
-		changed := (err == nil) != d.reached
-		d.reached = err == nil
-		d.mu.Unlock()
-		if changed {
-			d.p.Log.WithError(err).WithField("reached", err == nil).Info("store_reach_changed")
+		if err := d.ask(c, ConfirmAge); err != nil {
+			d.p.Log.WithError(err).Debug("configuration_unconfirmed")
 		}
 	}
 }
@@ -255,32 +263,34 @@
 	if v, ok := d.fresh(ConfirmAge); ok {
 		return v, nil
 	}
-	err := d.ask(c)
+	err := d.ask(c, ConfirmAge)
 	v, ok := d.fresh(d.s.MaxAge)
 	switch {
 	case ok:
 		return v, nil
 	case v == nil:
-		return nil, later("there is no configuration yet")
+		return nil, d.later("there is no configuration yet")
 	}
 	d.p.Log.WithError(err).Debug("configuration_unconfirmed")
-	return nil, later("the configuration could not be confirmed")
+	return nil, d.later("the configuration could not be confirmed")
 }
 
-// ask confirms the configuration by a read that must be current.
-func (d *Intake) ask(c context.Context) error {
+// ask confirms the configuration by a read that must be current, unless another
+// call has done so within age.
+func (d *Intake) ask(c context.Context, age time.Duration) error {
 	select {
 	case d.confirm <- struct{}{}:
 		defer func() { <-d.confirm }()
 	case <-c.Done():
 		return c.Err()
 	}
-	if _, ok := d.fresh(ConfirmAge); ok {
+	if _, ok := d.fresh(age); ok {
 		return nil
 	}
 	asked := time.Now()
 	i, err := d.p.Store.Get(c, d.p.Objects.ConfigKey())
 	if err != nil {
+		d.missed(c, asked, err)
 		return err
 	}
 	d.adopt(i)
@@ -295,6 +305,24 @@
 	if at.After(d.confirmed) {
 		d.confirmed = at
 	}
+	if !d.failing.IsZero() {
+		d.p.Log.WithFields(logrus.Fields{"reached": true, "ms": time.Since(d.failing).Milliseconds()}).Info("store_reach_changed")
+	}
+	d.failing = time.Time{}
+}
+
+// missed notes that the store gave no answer to a call made at a moment.
+func (d *Intake) missed(c context.Context, at time.Time, err error) {
+	var u *store.UnavailableError
+	if c.Err() != nil || !errors.As(err, &u) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failing.IsZero() {
+		d.failing = at
+		d.p.Log.WithError(err).WithField("reached", false).Warn("store_reach_changed")
+	}
 }
 
 // Resolve finds the queue and the customer of a call, or returns *Error.
@@ -333,7 +361,7 @@
 	n, err = d.q.pending(c, t.Queue.Name)
 	if err != nil {
 		d.p.Log.WithError(err).WithField("queue", t.Queue.Name).Info("pending_unknown")
-		return 0, later("the scheduler cannot be reached")
+		return 0, d.later("the scheduler cannot be reached")
 	}
 	return n, nil
 }
@@ -343,7 +371,7 @@
 	s, q, err := d.stateOf(c, t.Rest)
 	if err != nil {
 		d.p.Log.WithError(err).WithField("job", t.Rest).Info("state_unknown")
-		return "", later("neither the scheduler nor the store can be reached")
+		return "", d.later("neither the scheduler nor the store can be reached")
 	}
 	if s == "" || q != t.Queue.Name {
 		return "", fail(http.StatusGone, "no such job")
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -110,25 +110,44 @@
 	begun := time.Now()
 	defer func() { w.took = time.Since(begun) }()
 	for {
-		done, err := d.tryWrite(c, w)
-		if done {
-			return err
+		if w.doubt || d.reaches(c) {
+			done, err := d.tryWrite(c, w)
+			if done {
+				return err
+			}
 		}
 		if !w.doubt && time.Since(begun) > refusedPatience {
-			return w.undecided()
+			return d.undecided(w)
 		}
 		if !pause.For(c, retryPause) {
-			return w.undecided()
+			return d.undecided(w)
 		}
 	}
 }
 
+// provenAge is the age of the store's last answer up to which a write is sent
+// without asking first.
+const provenAge = 200 * time.Millisecond
+
+// reaches reports whether the store answers now. A write that gets no answer
+// leaves its caller without a true word, and a read that gets none costs nothing.
+func (d *Intake) reaches(c context.Context) bool {
+	if _, ok := d.fresh(provenAge); ok {
+		return true
+	}
+	err := d.ask(c, provenAge)
+	if err != nil {
+		d.p.Log.WithError(err).Info("write_not_sent")
+	}
+	return err == nil
+}
+
 // undecided answers for a write that could not be made certain in time.
-func (w *write) undecided() error {
+func (d *Intake) undecided(w *write) error {
 	if w.doubt {
 		return fail(http.StatusGatewayTimeout, "the store did not answer; the outcome is unknown")
 	}
-	return later("the store cannot be reached")
+	return d.later("the store cannot be reached")
 }
 
 // tryWrite makes one try and reports whether the outcome is certain.
@@ -152,9 +171,11 @@
 	case errors.As(err, &f):
 		return d.conflict(w, f)
 	case errors.As(err, &u) && u.Refused:
+		d.missed(c, asked, err)
 		return false, nil
 	}
 	w.doubt = true
+	d.missed(c, asked, err)
 	d.p.Log.WithError(err).WithField("key", w.key).Info("write_unanswered")
 	return false, nil
 }
@@ -166,14 +187,14 @@
 	}
 	i, ok := f.Item(d.p.Objects.ConfigKey())
 	if !ok {
-		return true, later("there is no configuration")
+		return true, d.later("there is no configuration")
 	}
 	d.adopt(i)
 	g, _ := d.fresh(0)
 	t, err := resolve(g, w.target.call)
 	if err != nil {
 		if w.doubt {
-			return true, w.undecided()
+			return true, d.undecided(w)
 		}
 		return true, err
 	}
