Let a claim take a place that is kept for borrowed work

Cause: a guaranteed job may have to wait for the place of its unit.

Change: the claim gives up kept places of borrowed work in its spot first; that job queues again.

Ruled out: a shorter hold timeout only shortens the wait.

Test: TestClaimTakesThePlaceOfAWaitingJob, seen to fail before.

--- a/sched/decide.go
+++ b/sched/decide.go
@@ -152,9 +152,20 @@
 		return false
 	}
 	spot = slices.Clone(u.at)
+	s.yield(spot)
 	return s.claimBy(j, u, spot, s.inTheWay(spot, u.Shape.Size))
 }
 
+// yield gives up the places in a spot that are kept for borrowed work: the claim
+// and that work would each wait for the other.
+func (s *State) yield(spot []int) {
+	for _, h := range s.orderedHolds() {
+		if h.unit == nil && overlaps(h.at, spot) {
+			s.release(h)
+		}
+	}
+}
+
 func (s *State) claimBy(j Job, u *unit, spot []int, out []*run) bool {
 	r := s.newRun(j, spot[:j.Shape.Tasks])
 	s.setSpot(r, spot, u.Shape.Size)
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -330,3 +330,25 @@
 		t.Error("not due after a while")
 	}
 }
+
+// TestClaimTakesThePlaceOfAWaitingJob covers the pattern of a large job for which
+// others make room when a customer claims its guarantee there: the place that is
+// kept for the large job gives way, or each would wait for the other.
+func TestClaimTakesThePlaceOfAWaitingJob(t *testing.T) {
+	b := newBench(t, 3)
+	small := []string{"s0", "s1", "s2", "s3"}
+	for _, id := range small {
+		b.submit(b.jobOf(id, "b", "batch", 1, 1))
+	}
+	b.pass(time.Second)
+	b.submit(b.jobOf("large", "b", "batch", 3, 8))
+	b.pass(time.Second)
+	m := b.pass(moveSlack + time.Second)
+	for _, id := range small {
+		b.wantKind(m, id, Preempt)
+	}
+	j := b.jobOf("claim", "a", "batch", 2, 8)
+	j.Shape.Adjacency = pack.AdjacentRack
+	b.submit(j)
+	b.wantKind(b.pass(time.Second), "claim", Start)
+}
