Serve the product's own interface for jobs on the platform's engine

Cause: on the users' platform only the platform's routes took jobs; /v1/jobs, the tools and /v1/status reached the other engine alone.

Change: package jobapi serves /v1/jobs and /v1/status at every entry's operators' address, onto the records and the scheduler of the platform's callers. Requests gain queues, steps and times in the product's words; submit, job and cancel take them and an API key. Refusals move from entry into package refuse, one copy for both. The scheduler's dump counts jobs by queue, class, customer and state, and workers by state. docs/design/5-platform.md says which stages of one engine follow.

Tests: TestProductInterface, TestProductInterfaceRefuses, TestProductInterfaceCancels, TestQueuedRequestCheck, TestRequestWithoutStepsIsOneGang.

--- a/cmd/hemlockhinge/client.go
+++ b/cmd/hemlockhinge/client.go
@@ -18,7 +18,8 @@
 
 // target is the flag by which the tools find an entry.
 type target struct {
-	Entry string `long:"entry" env:"HEMLOCKHINGE_ENTRY" default:"127.0.0.1:8080" description:"HTTP address of an entry"`
+	Entry  string `long:"entry" env:"HEMLOCKHINGE_ENTRY" default:"127.0.0.1:8080" description:"HTTP address of an entry"`
+	APIKey string `long:"api-key" env:"HEMLOCKHINGE_API_KEY" description:"the customer's key, where queues need one"`
 }
 
 // refusal is what the tools read of a problem document.
@@ -48,6 +49,9 @@
 	for n, l := range header {
 		r.Header[n] = l
 	}
+	if t.APIKey != "" {
+		r.Header.Set("Authorization", "Bearer "+t.APIKey)
+	}
 	c := &http.Client{
 		Timeout:   clientTimeout,
 		Transport: newTransport(),
--- a/cmd/hemlockhinge/jobs.go
+++ b/cmd/hemlockhinge/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -14,9 +15,11 @@
 )
 
 const (
-	submitHelp = `Submits a job and prints its id. With --key, submitting again after a lost
-answer finds the first submission. Exit status 3 when it is unknown whether the
-job was accepted; the id to ask for is printed.`
+	submitHelp = `Submits a job and prints its id. A job names its customer and class, or, where
+the configuration has queues, its queue; one of several steps is read from a file
+(JSON with comments, - for standard input). With --key, submitting again after a
+lost answer finds the first submission. Exit status 3 when it is unknown whether
+the job was accepted; the id to ask for is printed.`
 	jobHelp = `Prints a job. With --wait, waits until it has ended. Exit status 0 when it is
 done, or, without --wait, when it has not ended; 1 when it failed, was refused,
 cancelled or interrupted.`
@@ -26,8 +29,11 @@
 
 type submitRun struct {
 	target
-	Customer     string   `long:"customer" required:"true" description:"customer"`
-	Class        string   `long:"class" required:"true" description:"job class"`
+	File         string   `long:"file" description:"the whole job, in place of the flags that describe one"`
+	Queue        string   `long:"queue" description:"queue, in place of customer and class"`
+	Spec         string   `long:"spec" description:"what the tasks of a queue's job run"`
+	Customer     string   `long:"customer" description:"customer"`
+	Class        string   `long:"class" description:"job class"`
 	Tasks        int      `long:"tasks" default:"1" description:"number of tasks"`
 	Accelerators int      `long:"accelerators" description:"accelerators for each task"`
 	Cores        int      `long:"cores" description:"cores for each task"`
@@ -54,27 +60,10 @@
 
 // Execute implements flags.Commander.
 func (r *submitRun) Execute([]string) error {
-	t, err := time.ParseDuration(r.RunTime)
+	b, err := r.request()
 	if err != nil {
 		return exit(exitUsage, err)
 	}
-	i := !r.Once
-	b, err := json.Marshal(jobs.Request{
-		Customer:       r.Customer,
-		JobClass:       r.Class,
-		Tasks:          r.Tasks,
-		Accelerators:   r.Accelerators,
-		Cores:          r.Cores,
-		MemoryGiB:      r.Memory,
-		Adjacency:      pack.Adjacency(r.Adjacency),
-		RunTime:        conf.Duration(t),
-		Idempotent:     &i,
-		Command:        r.Args.Command,
-		FailureDomains: r.Domains,
-	})
-	if err != nil {
-		return err
-	}
 	h := http.Header{"Content-Type": {"application/json"}}
 	set(h, "Idempotency-Key", r.Key)
 	p, err := r.do(http.MethodPost, "/v1/jobs", b, h)
@@ -92,6 +81,38 @@
 	return nil
 }
 
+// request returns the body that the file or the flags describe.
+func (r *submitRun) request() ([]byte, error) {
+	if r.File != "" {
+		return readInput(r.File)
+	}
+	if r.Queue == "" && (r.Customer == "" || r.Class == "") {
+		return nil, errors.New("a job needs --customer and --class, or --queue, or --file")
+	}
+	t, err := time.ParseDuration(r.RunTime)
+	if err != nil {
+		return nil, err
+	}
+	q := jobs.Request{
+		Queue:          r.Queue,
+		Spec:           r.Spec,
+		Customer:       r.Customer,
+		JobClass:       r.Class,
+		Tasks:          r.Tasks,
+		Accelerators:   r.Accelerators,
+		Cores:          r.Cores,
+		MemoryGiB:      r.Memory,
+		Adjacency:      pack.Adjacency(r.Adjacency),
+		RunTime:        conf.Duration(t),
+		Command:        r.Args.Command,
+		FailureDomains: r.Domains,
+	}
+	if i := !r.Once; r.Queue == "" {
+		q.Idempotent = &i
+	}
+	return json.Marshal(q)
+}
+
 func readJob(b []byte) (jobs.Job, error) {
 	var j jobs.Job
 	if err := json.Unmarshal(b, &j); err != nil {
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -9,6 +9,7 @@
 
 	"hemlockhinge/jobs"
 	"hemlockhinge/once"
+	"hemlockhinge/refuse"
 	"hemlockhinge/route"
 	"hemlockhinge/store"
 )
@@ -39,7 +40,7 @@
 // claimTarget returns the target that the key's claim names. The first caller
 // with a key makes the claim; after an agent's promise that the key will not
 // run there, the claim moves on.
-func (v *relay) claimTarget(c context.Context) (route.Target, *Problem) {
+func (v *relay) claimTarget(c context.Context) (route.Target, *refuse.Problem) {
 	c, cancel := context.WithTimeout(c, claimTimeout)
 	defer cancel()
 	id := v.service.Name + "/" + jobs.Digest(v.service.Name, v.key)
@@ -53,7 +54,7 @@
 		case err != nil:
 			return route.Target{}, v.noClaim(err)
 		case r.Body.Fingerprint != f:
-			return route.Target{}, notRun(http.StatusUnprocessableEntity, "key_reused", fmt.Sprintf("%s %q was used for another request", headerKey, v.key))
+			return route.Target{}, refuse.NotRun(http.StatusUnprocessableEntity, "key_reused", fmt.Sprintf("%s %q was used for another request", headerKey, v.key))
 		case !v.promised(r):
 			return v.follow(r)
 		}
@@ -86,10 +87,10 @@
 }
 
 // follow sends the request where the claim points.
-func (v *relay) follow(r store.Record[claim]) (route.Target, *Problem) {
+func (v *relay) follow(r store.Record[claim]) (route.Target, *refuse.Problem) {
 	t, ok := v.entry.gate.take(r.Body.Agent)
 	if !ok {
-		return t, unknown(http.StatusServiceUnavailable, "claimed_elsewhere", fmt.Sprintf("agent %q, which may have run the first request with this key, is not reached", r.Body.Agent))
+		return t, refuse.Unknown(http.StatusServiceUnavailable, "claimed_elsewhere", fmt.Sprintf("agent %q, which may have run the first request with this key, is not reached", r.Body.Agent))
 	}
 	v.setClaim(r)
 	return t, nil
@@ -104,8 +105,8 @@
 	}
 }
 
-func (v *relay) noClaim(err error) *Problem {
-	return notRun(http.StatusServiceUnavailable, "store", "the idempotency key cannot be claimed, nothing was sent: "+err.Error())
+func (v *relay) noClaim(err error) *refuse.Problem {
+	return refuse.NotRun(http.StatusServiceUnavailable, "store", "the idempotency key cannot be claimed, nothing was sent: "+err.Error())
 }
 
 func (v *relay) swapClaim(c context.Context, r store.Record[claim]) (store.Record[claim], error) {
--- a/entry/http.go
+++ b/entry/http.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"hemlockhinge/admin"
+	"hemlockhinge/refuse"
 	"hemlockhinge/route"
 	"hemlockhinge/sched"
 	"hemlockhinge/store"
@@ -95,7 +96,7 @@
 	if c.Response().Committed {
 		return
 	}
-	asProblem(err).write(c.Response())
+	asProblem(err).Write(c.Response())
 }
 
 // whileDraining asks callers to use another connection for the next request.
@@ -154,15 +155,15 @@
 func (e *Entry) putConfig(c echo.Context) error {
 	m := c.Request().Header.Get("If-Match")
 	if m == "" {
-		return notRun(http.StatusPreconditionRequired, "no_version", "If-Match must name the version that the change was made on")
+		return refuse.NotRun(http.StatusPreconditionRequired, "no_version", "If-Match must name the version that the change was made on")
 	}
 	v, err := strconv.ParseUint(strings.Trim(strings.TrimPrefix(m, "W/"), `"`), 10, 64)
 	if err != nil {
-		return notRun(http.StatusBadRequest, "bad_version", fmt.Sprintf("If-Match %q is not a version", m))
+		return refuse.NotRun(http.StatusBadRequest, "bad_version", fmt.Sprintf("If-Match %q is not a version", m))
 	}
 	b, err := io.ReadAll(io.LimitReader(c.Request().Body, maxConfigText+1))
 	if err != nil || len(b) > maxConfigText {
-		return notRun(http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("the objects are at most %d bytes", maxConfigText))
+		return refuse.NotRun(http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("the objects are at most %d bytes", maxConfigText))
 	}
 	x, cancel := context.WithTimeout(c.Request().Context(), publishTimeout)
 	defer cancel()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -13,6 +13,7 @@
 
 	"hemlockhinge/conf"
 	"hemlockhinge/jobs"
+	"hemlockhinge/refuse"
 	"hemlockhinge/store"
 )
 
@@ -28,7 +29,7 @@
 func (e *Entry) submit(c echo.Context) error {
 	b, err := io.ReadAll(io.LimitReader(c.Request().Body, maxJobBody+1))
 	if err != nil || len(b) > maxJobBody {
-		return notRun(http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a job is at most %d bytes", maxJobBody))
+		return refuse.NotRun(http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a job is at most %d bytes", maxJobBody))
 	}
 	q, err := jobs.ParseRequest(b)
 	if err != nil {
@@ -67,12 +68,12 @@
 		return j, nil
 	}
 	if n := e.waiting(q.Customer); overQueue(o, q.Customer, n) {
-		return j, notRun(http.StatusTooManyRequests, "queue_limit", fmt.Sprintf("customer %q has %d jobs waiting, its limit", q.Customer, n))
+		return j, refuse.NotRun(http.StatusTooManyRequests, "queue_limit", fmt.Sprintf("customer %q has %d jobs waiting, its limit", q.Customer, n))
 	}
 	d, err := e.chooseDomain(j, "")
 	var n *NoDomainError
 	if errors.As(err, &n) {
-		return j, notRun(http.StatusUnprocessableEntity, "never_runnable", n.Error())
+		return j, refuse.NotRun(http.StatusUnprocessableEntity, "never_runnable", n.Error())
 	}
 	j.Domain = d
 	return j, err
@@ -107,7 +108,7 @@
 		return r, err
 	}
 	if r.Body.Fingerprint != j.Fingerprint {
-		return r, notRun(http.StatusUnprocessableEntity, "key_reused", fmt.Sprintf("%s was used for another job", headerKey))
+		return r, refuse.NotRun(http.StatusUnprocessableEntity, "key_reused", fmt.Sprintf("%s was used for another job", headerKey))
 	}
 	e.keepJob(r)
 	return r, nil
@@ -125,11 +126,11 @@
 	case err == nil:
 		e.keepJob(r)
 	case errors.As(err, &m):
-		return notRun(http.StatusNotFound, "no_job", fmt.Sprintf("job %q does not exist", id))
+		return refuse.NotRun(http.StatusNotFound, "no_job", fmt.Sprintf("job %q does not exist", id))
 	default:
 		o, ok := e.record(id)
 		if !ok {
-			return unknown(http.StatusServiceUnavailable, "store", err.Error())
+			return refuse.Unknown(http.StatusServiceUnavailable, "store", err.Error())
 		}
 		r = o
 	}
@@ -146,7 +147,7 @@
 		r, err := e.records.Get(x, id)
 		var m *store.NotFoundError
 		if errors.As(err, &m) {
-			return notRun(http.StatusNotFound, "no_job", fmt.Sprintf("job %q does not exist", id))
+			return refuse.NotRun(http.StatusNotFound, "no_job", fmt.Sprintf("job %q does not exist", id))
 		}
 		if err != nil {
 			return err
@@ -164,5 +165,5 @@
 			return err
 		}
 	}
-	return notRun(http.StatusConflict, "busy_record", fmt.Sprintf("job %q changes too fast, try again", id))
+	return refuse.NotRun(http.StatusConflict, "busy_record", fmt.Sprintf("job %q changes too fast, try again", id))
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockhinge/conf"
+	"hemlockhinge/refuse"
 	"hemlockhinge/route"
 	"hemlockhinge/wire"
 )
@@ -85,24 +86,24 @@
 	return p
 }
 
-func (e *Entry) newRelay(c echo.Context, id string) (*relay, *Problem) {
+func (e *Entry) newRelay(c echo.Context, id string) (*relay, *refuse.Problem) {
 	r := c.Request()
 	o, _ := e.objects()
 	n := c.Param("service")
 	s, ok := o.Service(n)
 	if !ok {
-		return nil, notRun(http.StatusNotFound, "no_service", fmt.Sprintf("service %q does not exist", n))
+		return nil, refuse.NotRun(http.StatusNotFound, "no_service", fmt.Sprintf("service %q does not exist", n))
 	}
 	if r.Header.Get("Upgrade") != "" {
-		return nil, notRun(http.StatusNotImplemented, "upgrade", "protocol upgrades are not supported")
+		return nil, refuse.NotRun(http.StatusNotImplemented, "upgrade", "protocol upgrades are not supported")
 	}
 	k := r.Header.Get(headerKey)
 	if len(k) > maxKey {
-		return nil, notRun(http.StatusBadRequest, "bad_key", fmt.Sprintf("%s is longer than %d bytes", headerKey, maxKey))
+		return nil, refuse.NotRun(http.StatusBadRequest, "bad_key", fmt.Sprintf("%s is longer than %d bytes", headerKey, maxKey))
 	}
 	m := r.Header.Get(headerIdempotent)
 	if m != "" && m != "true" && m != "false" {
-		return nil, notRun(http.StatusBadRequest, "bad_mark", fmt.Sprintf("%s is %q, not true or false", headerIdempotent, m))
+		return nil, refuse.NotRun(http.StatusBadRequest, "bad_mark", fmt.Sprintf("%s is %q, not true or false", headerIdempotent, m))
 	}
 	return &relay{
 		entry:      e,
@@ -122,7 +123,7 @@
 }
 
 // run tries targets until one answers or no further try is allowed.
-func (v *relay) run(c context.Context) *Problem {
+func (v *relay) run(c context.Context) *refuse.Problem {
 	for try := 1; ; try++ {
 		t, p := v.target(c)
 		if p != nil {
@@ -144,7 +145,7 @@
 }
 
 // target chooses where the next try goes: by load, or by the claim of its key.
-func (v *relay) target(c context.Context) (route.Target, *Problem) {
+func (v *relay) target(c context.Context) (route.Target, *refuse.Problem) {
 	if v.key != "" && !v.idempotent {
 		return v.claimTarget(c)
 	}
@@ -155,14 +156,14 @@
 	return t, nil
 }
 
-func (v *relay) noSlot(err error) *Problem {
-	return notRun(http.StatusServiceUnavailable, "no_slot", err.Error())
+func (v *relay) noSlot(err error) *refuse.Problem {
+	return refuse.NotRun(http.StatusServiceUnavailable, "no_slot", err.Error())
 }
 
 // final returns the refusal of a failure that no other try can mend.
-func (v *relay) final(f route.Failure, err error) *Problem {
+func (v *relay) final(f route.Failure, err error) *refuse.Problem {
 	if v.answered {
-		return unknown(http.StatusBadGateway, "broken_answer", err.Error())
+		return refuse.Unknown(http.StatusBadGateway, "broken_answer", err.Error())
 	}
 	r, ok := wire.Refused(err)
 	if !ok || v.claim.agent == "" {
@@ -172,19 +173,19 @@
 	case wire.CodeMoved:
 		return nil
 	case wire.CodeLost, wire.CodeDone:
-		return unknown(http.StatusConflict, "ran_before", r.Detail)
+		return refuse.Unknown(http.StatusConflict, "ran_before", r.Detail)
 	}
 	return v.refusal(f, err)
 }
 
 // refusal tells the caller how the last try failed.
-func (v *relay) refusal(f route.Failure, err error) *Problem {
+func (v *relay) refusal(f route.Failure, err error) *refuse.Problem {
 	if f == route.Doubtful {
-		return unknown(http.StatusBadGateway, "target_failed", err.Error())
+		return refuse.Unknown(http.StatusBadGateway, "target_failed", err.Error())
 	}
-	p := notRun(http.StatusServiceUnavailable, "target_refused", err.Error())
+	p := refuse.NotRun(http.StatusServiceUnavailable, "target_refused", err.Error())
 	if r, ok := wire.Refused(err); ok && r.Retry > 0 {
-		p.retry = r.Retry
+		return p.RetryIn(r.Retry)
 	}
 	return p
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -104,11 +104,14 @@
 	return e
 }
 
-// Call is what a caller's request says.
+// Call is what a caller's request says: the route, or the queue by its name and
+// the job, and the key.
 type Call struct {
-	Host string
-	Path string
-	Key  string
+	Host  string
+	Path  string
+	Queue string
+	Job   string
+	Key   string
 }
 
 // Target is where a call goes under one configuration.
@@ -117,7 +120,7 @@
 	config   *policy.Config
 	Queue    *policy.Queue
 	Customer string
-	// Rest is what follows the queue's prefix in the path.
+	// Rest is what follows the queue's prefix in the path: the job's id.
 	Rest string
 }
 
@@ -335,9 +338,9 @@
 }
 
 func resolve(g *policy.Config, v Call) (*Target, error) {
-	q, rest, ok := g.Match(v.Host, v.Path)
-	if !ok {
-		return nil, fail(http.StatusNotFound, "no queue at %s%s", v.Host, v.Path)
+	q, rest, err := v.queue(g)
+	if err != nil {
+		return nil, err
 	}
 	n, ok := g.CustomerOf(v.Key)
 	if !ok && !q.Public {
@@ -352,6 +355,45 @@
 	}, nil
 }
 
+// queue returns the queue that a call names, and what follows its prefix.
+func (v Call) queue(g *policy.Config) (*policy.Queue, string, error) {
+	if v.Queue != "" {
+		q := g.Queue(v.Queue)
+		if q == nil {
+			return nil, "", fail(http.StatusNotFound, "queue %q does not exist", v.Queue)
+		}
+		return q, v.Job, nil
+	}
+	q, rest, ok := g.Match(v.Host, v.Path)
+	if !ok {
+		return nil, "", fail(http.StatusNotFound, "no queue at %s%s", v.Host, v.Path)
+	}
+	return q, rest, nil
+}
+
+// Find returns where a job stands, and its queue, for a caller who knows only its
+// id. It returns *Error.
+func (d *Intake) Find(c context.Context, id, key string) (*Target, graph.State, error) {
+	g, e := d.newest(c)
+	if e != nil {
+		return nil, "", e
+	}
+	s, q, err := d.stateOf(c, id)
+	if err != nil {
+		d.p.Log.WithError(err).WithField("job", id).Info("state_unknown")
+		return nil, "", d.later("neither the scheduler nor the store can be reached")
+	}
+	if s == "" {
+		return nil, "", fail(http.StatusGone, "job %q does not exist", id)
+	}
+	t, err := resolve(g, Call{
+		Queue: q,
+		Job:   id,
+		Key:   key,
+	})
+	return t, s, err
+}
+
 // Pending returns how many jobs of a queue have not begun.
 func (d *Intake) Pending(c context.Context, t *Target) (int, error) {
 	n, err := d.p.Leader.Pending(t.Queue.Name)
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"reflect"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,20 +15,46 @@
 	"hemlockhinge/store"
 )
 
-// Submit takes a job in, once for each id. It returns nil when the store has the
-// job, and else *Error: with status 503 or 429 the job certainly never runs
-// unless it is handed in again; with 504 that is not known.
+// Submit takes a job in, once for each id. It returns nil when the store has a
+// job with the id, and else *Error: with status 503 or 429 the job certainly
+// never runs unless it is handed in again; with 504 that is not known.
 func (d *Intake) Submit(c context.Context, t *Target, j *graph.Job) error {
+	_, err := d.submit(c, t, j)
+	return err
+}
+
+// SubmitSame is Submit, but returns an *Error of status 422 when the id has been
+// used for another job.
+func (d *Intake) SubmitSame(c context.Context, t *Target, j *graph.Job) error {
+	b, err := d.submit(c, t, j)
+	if err != nil || b == nil {
+		return err
+	}
+	o, err := leader.DecodeJob(b)
+	if err != nil {
+		return err
+	}
+	// The configuration may have changed since.
+	o.Service = j.Service
+	o.MaxAttempts = j.MaxAttempts
+	if !reflect.DeepEqual(o, j) {
+		return fail(http.StatusUnprocessableEntity, "id %q was used for another job", j.ID)
+	}
+	return nil
+}
+
+// submit returns the record that the store had already, nil for none.
+func (d *Intake) submit(c context.Context, t *Target, j *graph.Job) ([]byte, error) {
 	j.Queue = t.Queue.Name
 	j.Service = t.Queue.Service
 	j.Customer = t.Customer
 	j.MaxAttempts = t.Queue.MaxAttempts
 	if err := j.Check(); err != nil {
-		return fail(http.StatusBadRequest, "%v", err)
+		return nil, fail(http.StatusBadRequest, "%v", err)
 	}
 	b, err := leader.EncodeJob(j)
 	if err != nil {
-		return fail(http.StatusBadRequest, "%v", err)
+		return nil, fail(http.StatusBadRequest, "%v", err)
 	}
 	w := write{
 		target: t,
@@ -46,7 +73,7 @@
 		"outcome":  outcome(err),
 	}).Info("job_submitted")
 	d.p.Meter.Submitted(outcome(err), w.took)
-	return err
+	return w.found, err
 }
 
 // Cancel cancels a job; it returns nil once the store has the cancellation or
@@ -103,6 +130,8 @@
 	took  time.Duration
 	// doubt means that an earlier try may still take effect.
 	doubt bool
+	// found is the value that a fresh key had already.
+	found []byte
 }
 
 // write puts a value until that is certain, or c ends.
@@ -182,7 +211,8 @@
 
 // conflict finds out why a write's condition did not hold.
 func (d *Intake) conflict(w *write, f *store.TxnConflictError) (bool, error) {
-	if _, ok := f.Item(w.key); ok && w.fresh {
+	if i, ok := f.Item(w.key); ok && w.fresh {
+		w.found = i.Value
 		return true, nil
 	}
 	i, ok := f.Item(d.p.Objects.ConfigKey())
--- a/jobs/request.go
+++ b/jobs/request.go
@@ -20,11 +20,22 @@
 
 // Request is what a caller submits. Accelerators, Cores and MemoryGiB are for
 // each task. FailureDomains limits where the job may run; empty means anywhere.
+//
+// Where the operators' configuration has queues, a request names a Queue in place
+// of Customer and JobClass, says in Spec what its tasks run, and may have Steps,
+// and times: Repeat occurrences, the first at FirstAt and the others Every so
+// often.
 type Request struct {
-	Customer       string         `json:"customer"`
-	JobClass       string         `json:"job_class"`
-	Tasks          int            `json:"tasks"`
-	Accelerators   int            `json:"accelerators"`
+	Customer       string         `json:"customer,omitempty"`
+	JobClass       string         `json:"job_class,omitempty"`
+	Queue          string         `json:"queue,omitempty"`
+	Spec           string         `json:"spec,omitempty"`
+	Steps          []Step         `json:"steps,omitempty"`
+	Repeat         int            `json:"repeat,omitempty"`
+	FirstAt        time.Time      `json:"first_at,omitzero"`
+	Every          conf.Duration  `json:"every,omitempty"`
+	Tasks          int            `json:"tasks,omitempty"`
+	Accelerators   int            `json:"accelerators,omitempty"`
 	Cores          int            `json:"cores,omitempty"`
 	MemoryGiB      int            `json:"memory_gib,omitempty"`
 	Adjacency      pack.Adjacency `json:"adjacency,omitempty"`
@@ -58,6 +69,10 @@
 // Check reports every fault of r against the objects, as a *conf.Faults.
 func (r *Request) Check(o *conf.Objects) error {
 	var f conf.Faults
+	f.Need(r.Queue == "", "job", "queue", "there are no queues here, jobs name a customer and a job class")
+	f.Need(r.Spec == "", "job", "spec", "jobs here name a command")
+	f.Need(len(r.Steps) == 0, "job", "steps", "jobs here are one gang")
+	f.Need(r.Repeat == 0 && r.FirstAt.IsZero() && r.Every == 0, "job", "repeat", "jobs here run once")
 	if _, ok := o.Customer(r.Customer); !ok {
 		f.Add("job", "customer", "customer %q does not exist", r.Customer)
 	}
--- a/leader/dump.go
+++ b/leader/dump.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"hemlockhinge/graph"
 )
 
 // Dump is the state of the scheduler's role in one process, for operators.
@@ -13,11 +15,21 @@
 	Leads   bool           `json:"leads"`
 	Epoch   uint64         `json:"epoch,omitempty"`
 	Since   string         `json:"since,omitempty"`
-	Jobs    map[string]int `json:"jobs_by_queue_and_state,omitempty"`
+	Jobs    []JobsDump     `json:"jobs,omitempty"`
 	Unsaved int            `json:"unsaved_jobs,omitempty"`
+	Workers map[string]int `json:"workers_by_state,omitempty"`
 	Agents  []AgentDump    `json:"agents,omitempty"`
 }
 
+// JobsDump counts the jobs of one queue and customer in one state.
+type JobsDump struct {
+	Queue    string      `json:"queue"`
+	Class    int         `json:"class"`
+	Customer string      `json:"customer"`
+	State    graph.State `json:"state"`
+	Count    int         `json:"count"`
+}
+
 // AgentDump is what a scheduler believes of one agent and its worker.
 type AgentDump struct {
 	Address  string `json:"address"`
@@ -54,21 +66,61 @@
 	d.Leads = true
 	d.Epoch = t.grip.epoch
 	d.Since = t.began.UTC().Format(time.RFC3339)
-	d.Jobs = map[string]int{}
-	for _, j := range t.jobs {
-		d.Jobs[j.Queue+" "+string(j.state())]++
-		if j.version != j.stored {
-			d.Unsaved++
-		}
-	}
+	d.Jobs, d.Unsaved = t.dumpJobs()
+	d.Workers = map[string]int{}
 	now := time.Now()
 	for _, m := range t.members {
+		d.Workers[m.condition()]++
 		d.Agents = append(d.Agents, m.dump(now))
 	}
 	slices.SortFunc(d.Agents, func(a, b AgentDump) int { return cmp.Compare(a.Address, b.Address) })
 	return d
 }
 
+// dumpJobs counts the jobs, and those whose progress is not in the store yet.
+func (t *term) dumpJobs() (l []JobsDump, unsaved int) {
+	n := map[JobsDump]int{}
+	for _, j := range t.jobs {
+		k := JobsDump{
+			Queue:    j.Queue,
+			Customer: j.Customer,
+			State:    j.state(),
+		}
+		if q := t.queue(j); q != nil {
+			k.Class = q.Priority
+		}
+		n[k]++
+		if j.version != j.stored {
+			unsaved++
+		}
+	}
+	for k, c := range n {
+		k.Count = c
+		l = append(l, k)
+	}
+	slices.SortFunc(l, func(a, b JobsDump) int {
+		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.State, b.State))
+	})
+	return l, unsaved
+}
+
+// condition names the state that a member's worker is in, for operators.
+func (m *member) condition() string {
+	switch {
+	case m.facts.Gone || !m.facts.Known:
+		return "gone"
+	case m.peer == nil:
+		return "silent_agent"
+	case !m.known:
+		return "unaccounted"
+	case m.facts.Leaving:
+		return "leaving"
+	case !m.open:
+		return "unanswering"
+	}
+	return "ready"
+}
+
 func (m *member) dump(now time.Time) AgentDump {
 	f := m.facts
 	return AgentDump{
--- a/proof/caller_test.go
+++ b/proof/caller_test.go
@@ -16,6 +16,7 @@
 	"hemlockhinge/entry"
 	"hemlockhinge/fakes"
 	"hemlockhinge/jobs"
+	"hemlockhinge/refuse"
 )
 
 // exchange is one request of a caller and what came of it.
@@ -101,7 +102,7 @@
 	if !strings.HasPrefix(p.Header.Get("Content-Type"), "application/problem+json") {
 		return ""
 	}
-	var v entry.Problem
+	var v refuse.Problem
 	if err := json.Unmarshal(b, &v); err != nil {
 		return "unreadable"
 	}
