Keep a run that a list has found when an older list comes late

Both had the same mark, so the older one hid the run; the scheduler started the next attempt, at the same worker, and the agent's ledger let it replace the first.

Change: finding a run by a list counts in the mark, as a confirmed start does. An agent refuses an attempt while another of the same task may be running.

Ruled out: the scheduler (it took the agent's word); the worker's late orders (the token had been raised).

--- a/fence/fence.go
+++ b/fence/fence.go
@@ -90,7 +90,7 @@
 // Acked returns the number up to which ends may be forgotten.
 func (l *Ledger) Acked() int64 { return l.acked }
 
-// Mark returns a count that rises with each confirmed start.
+// Mark returns a count that rises with each run that is confirmed.
 func (l *Ledger) Mark() uint64 { return l.mark }
 
 // Raise makes the token at least t, and higher than it was.
@@ -179,8 +179,10 @@
 			continue
 		}
 		if !r.confirmed {
+			// A list that was asked for before this one may still come.
+			l.mark++
 			r.confirmed = true
-			r.since = s.Mark
+			r.since = l.mark
 			changed = true
 		}
 		r.Saved = v.Saved
@@ -232,6 +234,12 @@
 	return r != nil && r.Attempt == attempt
 }
 
+// Holds reports whether another attempt of a task may be running.
+func (l *Ledger) Holds(t graph.Task, attempt int) bool {
+	r := l.runs[t]
+	return r != nil && r.Attempt != attempt
+}
+
 // Runs returns all runs that may exist, in the order of their names.
 func (l *Ledger) Runs() []Run {
 	v := make([]Run, 0, len(l.runs))
--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -75,6 +75,20 @@
 	assertRuns(t, l, 0)
 }
 
+// TestOvertakenListAfterALostAnswer covers a start whose answer is lost: the run is
+// found by a list, and an older list that was asked for before it arrives late.
+func TestOvertakenListAfterALostAnswer(t *testing.T) {
+	l := ledger()
+	old := listing(l)
+	l.Begin(first, 1, size)
+	l.Raise(0)
+	l.Apply(listing(l, fence.Run{Task: first, Attempt: 1, Size: size}))
+	l.Apply(old)
+	assertRuns(t, l, 1)
+	l.Apply(listing(l))
+	assertRuns(t, l, 0)
+}
+
 func TestOtherLife(t *testing.T) {
 	l := ledger()
 	l.Begin(first, 1, size)
@@ -132,7 +146,16 @@
 		var seen fence.Token
 		running := map[int]bool{}
 		var late []order
+		var lists []fence.Listing
 		attempt := 0
+		list := func() fence.Listing {
+			seen = max(seen, l.Token())
+			v := listing(l)
+			for n := range running {
+				v.Running = append(v.Running, fence.Run{Task: graph.Task{Job: "a", Index: n}, Attempt: n})
+			}
+			return v
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"start answered": func(t *rapid.T) {
 				attempt++
@@ -164,16 +187,28 @@
 					running[o.attempt] = true
 				}
 			},
+			"start whose answer is lost": func(*rapid.T) {
+				attempt++
+				k := l.Begin(graph.Task{Job: "a", Index: attempt}, attempt, size)
+				if k >= seen {
+					seen = k
+					running[attempt] = true
+				}
+			},
 			"list": func(t *rapid.T) {
 				if rapid.Bool().Draw(t, "raised") {
 					l.Raise(0)
 				}
-				seen = max(seen, l.Token())
-				v := listing(l)
-				for n := range running {
-					v.Running = append(v.Running, fence.Run{Task: graph.Task{Job: "a", Index: n}, Attempt: n})
+				l.Apply(list())
+			},
+			"list that comes late": func(*rapid.T) { lists = append(lists, list()) },
+			"late list": func(t *rapid.T) {
+				if len(lists) == 0 {
+					return
 				}
-				l.Apply(v)
+				i := rapid.IntRange(0, len(lists)-1).Draw(t, "which list")
+				l.Apply(lists[i])
+				lists = append(lists[:i], lists[i+1:]...)
 			},
 			"": func(t *rapid.T) {
 				for n := range running {
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -137,6 +137,8 @@
 		return StartOrder{}, wire.Refuse(wire.CodeLost, "the worker is not known yet")
 	case r.facts.Leaving:
 		return StartOrder{}, wire.Refuse(wire.CodeLeaving, "the worker is leaving")
+	case r.ledger.Holds(t, m.Attempt):
+		return StartOrder{}, wire.Refuse(wire.CodeBusy, "another attempt of the task may be running")
 	case !room.Fits(m.Size):
 		return StartOrder{}, wire.Refuse(wire.CodeBusy, "no room: %+v of %+v are free", room, r.facts.Capacity)
 	}
