Serve what can be in time first; keep room for units that find none

Change: a rank by claim, class, standing (in time, late, overdue) and age; overdue ones come last of all classes and stop nobody. For the first four units that find no room, can be in time and wait for no wave of their own step, a place is kept in the future (EASY backfilling).

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -38,6 +38,17 @@
 	Closed bool
 	// Doubt is higher for workers whose last tasks went badly.
 	Doubt int
+
+	// far is what units may take that run on when kept places are needed.
+	far graph.Size
+}
+
+// room returns what a unit may take of a worker now.
+func (v *Worker) room(u *Unit) graph.Size {
+	if u.long {
+		return v.Free.Min(v.far)
+	}
+	return v.Free
 }
 
 // Unit is what must start together.
@@ -65,6 +76,13 @@
 	Allowed map[int]bool
 	// Spread allows a gang that belongs into one rack to be spread.
 	Spread bool
+	// Runs is how long the unit is expected to run.
+	Runs time.Duration
+	// Reserve has room kept for the unit when it finds none.
+	Reserve bool
+
+	// long units run on when kept places are needed.
+	long bool
 }
 
 // Placement starts each task of a unit on the worker of the same index in At.
@@ -87,12 +105,20 @@
 
 // Decide places units in the order of their rank. An urgent unit that finds no
 // room has groups stopped, and the room that it will take is kept from the units
-// after it. Free of the workers is reduced by what is placed or kept.
+// after it. For the first others that find none, room is kept in the future: units
+// after them get it only if they are over by then. Free of the workers is reduced
+// by what is placed or taken for urgent units.
 func Decide(w []Worker, g []Group, u []Unit) Decision {
 	slices.SortStableFunc(u, func(a, b Unit) int { return cmp.Compare(a.Rank, b.Rank) })
 	var d Decision
+	var b backfill
+	for i := range w {
+		w[i].far = w[i].Free
+	}
 	full := map[shape]bool{}
+	kept := map[shape]bool{}
 	for i := range u {
+		u[i].long = !b.passes(&u[i])
 		// Room only shrinks, so a shape that found none finds none later.
 		z := shapeOf(&u[i])
 		var at []int
@@ -109,11 +135,15 @@
 			})
 			continue
 		}
-		if !u[i].Urgent || u[i].Waits {
-			continue
+		p, ok := plan{}, false
+		if u[i].Urgent && !u[i].Waits {
+			p, ok = makeRoom(w, g, &u[i])
 		}
-		p, ok := makeRoom(w, g, &u[i])
 		if !ok {
+			if u[i].Reserve && !kept[z] {
+				kept[z] = true
+				b.keep(w, g, &u[i])
+			}
 			continue
 		}
 		for _, k := range p.evict {
@@ -144,6 +174,7 @@
 	most    int
 	oneRack bool
 	spread  bool
+	long    bool
 }
 
 func shapeOf(u *Unit) shape {
@@ -156,6 +187,7 @@
 		most:    u.Step.MaxPerWorker,
 		oneRack: u.Step.OneRack,
 		spread:  u.Spread,
+		long:    u.long,
 	}
 }
 
@@ -163,6 +195,7 @@
 func take(w []Worker, u *Unit, at []int) {
 	for _, k := range at {
 		w[k].Free = w[k].Free.Sub(u.Step.Size)
+		w[k].far = w[k].far.Sub(u.Step.Size)
 		w[k].Serving = w[k].Serving || u.Step.TailTarget > 0
 		w[k].Filling = w[k].Filling || u.Step.Filler
 		if u.Held != nil {
@@ -283,10 +316,11 @@
 	var spots []spot
 	total := 0
 	for i := range w {
-		if !w[i].Free.Fits(u.Step.Size) || !usable(w, i, u) || !ok(&w[i]) {
+		z := w[i].room(u)
+		if !z.Fits(u.Step.Size) || !usable(w, i, u) || !ok(&w[i]) {
 			continue
 		}
-		if n := capacity(w[i].Free, u, u.Held[i]); n > 0 {
+		if n := capacity(z, u, u.Held[i]); n > 0 {
 			spots = append(spots, spot{
 				worker: i,
 				fits:   n,
--- /dev/null
+++ b/alloc/backfill.go
@@ -0,0 +1,117 @@
+package alloc
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"time"
+
+	"hemlockhinge/graph"
+)
+
+// maxShadows is how many units that find no room have some kept for them at a
+// time: each costs what runs elsewhere meanwhile.
+const maxShadows = 4
+
+// shadow is a place that is kept for a unit from a moment in the future.
+type shadow struct {
+	start time.Duration
+	at    []int
+	size  graph.Size
+}
+
+// backfill keeps room in the future for units that find none now, and lets others
+// pass them only where they do not delay them, as EASY backfilling does (Lifka,
+// "The ANL/IBM SP scheduling system", 1995).
+type backfill struct {
+	shadows []shadow
+	// ends are the groups in the order in which they are expected to end.
+	ends []int
+}
+
+// passes reports whether a unit is over before any kept place is needed.
+func (b *backfill) passes(u *Unit) bool {
+	for _, s := range b.shadows {
+		if u.Runs > s.start {
+			return false
+		}
+	}
+	return true
+}
+
+// keep keeps the place in which a unit fits first if groups end as expected.
+func (b *backfill) keep(w []Worker, g []Group, u *Unit) {
+	if len(b.shadows) >= maxShadows {
+		return
+	}
+	if b.ends == nil {
+		b.ends = byEnd(g)
+	}
+	n := sort.Search(len(b.ends)+1, func(n int) bool {
+		if n > len(b.ends) {
+			return true
+		}
+		_, ok := place(b.freed(w, g, n), u)
+		return ok
+	})
+	if n > len(b.ends) {
+		return
+	}
+	f := b.freed(w, g, n)
+	at, ok := place(f, u)
+	if !ok {
+		return
+	}
+	s := shadow{
+		at:   at,
+		size: u.Step.Size,
+	}
+	if n > 0 {
+		s.start = g[b.ends[n-1]].Expected
+	}
+	for _, i := range at {
+		f[i].Free = f[i].Free.Sub(s.size)
+	}
+	for _, i := range at {
+		w[i].far = w[i].far.Min(f[i].Free)
+	}
+	b.shadows = append(b.shadows, s)
+}
+
+// freed returns the workers as they are once the first n groups have ended, less
+// what is kept already.
+func (b *backfill) freed(w []Worker, g []Group, n int) []Worker {
+	f := slices.Clone(w)
+	for i := range f {
+		f[i].Free = f[i].Free.Add(f[i].Coming)
+	}
+	for _, k := range b.ends[:n] {
+		for i, z := range g[k].Parts {
+			f[i].Free = f[i].Free.Add(z)
+		}
+	}
+	for _, s := range b.shadows {
+		for _, i := range s.at {
+			f[i].Free = f[i].Free.Sub(s.size)
+		}
+	}
+	for i := range f {
+		f[i].far = f[i].Free
+	}
+	return f
+}
+
+// byEnd lists the groups that are not being stopped in the order in which they
+// are expected to end.
+func byEnd(g []Group) []int {
+	l := make([]int, 0, len(g))
+	for i := range g {
+		if !g[i].Stopping && !g[i].Fixed {
+			l = append(l, i)
+		}
+	}
+	slices.SortFunc(l, func(a, b int) int {
+		return cmp.Or(cmp.Compare(g[a].Expected, g[b].Expected), cmp.Compare(a, b))
+	})
+	return l
+}
--- a/alloc/preempt.go
+++ b/alloc/preempt.go
@@ -26,6 +26,8 @@
 	// Remaining is how long the group still runs; Timed says that it is known.
 	Remaining time.Duration
 	Timed     bool
+	// Expected is how long the group is expected to run on.
+	Expected time.Duration
 	// Key is the caller's own name of the group.
 	Key graph.Task
 }
--- a/graph/graph.go
+++ b/graph/graph.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// Min returns the smaller of s and t in each resource.
+func (s Size) Min(t Size) Size {
+	return Size{
+		MilliCPU:     min(s.MilliCPU, t.MilliCPU),
+		MemoryMiB:    min(s.MemoryMiB, t.MemoryMiB),
+		Accelerators: min(s.Accelerators, t.Accelerators),
+	}
+}
+
 // Fits reports whether s has room for t.
 func (s Size) Fits(t Size) bool {
 	return t.MilliCPU <= s.MilliCPU && t.MemoryMiB <= s.MemoryMiB && t.Accelerators <= s.Accelerators
@@ -112,13 +121,24 @@
 // Chain returns the longest chain of estimates through the steps.
 func (j *Job) Chain() time.Duration {
 	var longest time.Duration
-	at := make([]time.Duration, len(j.Steps))
-	for i, s := range j.Steps {
-		var before time.Duration
-		for _, b := range s.After {
-			before = max(before, at[b])
+	for i := range j.Steps {
+		if len(j.Steps[i].After) == 0 {
+			longest = max(longest, j.ChainFrom(i))
+		}
+	}
+	return longest
+}
+
+// ChainFrom returns the longest chain of estimates that begins with a step.
+func (j *Job) ChainFrom(step int) time.Duration {
+	at := map[int]time.Duration{step: j.Steps[step].Estimate}
+	longest := at[step]
+	for i := step + 1; i < len(j.Steps); i++ {
+		for _, b := range j.Steps[i].After {
+			if d, ok := at[b]; ok {
+				at[i] = max(at[i], d+j.Steps[i].Estimate)
+			}
 		}
-		at[i] = before + s.Estimate
 		longest = max(longest, at[i])
 	}
 	return longest
--- a/graph/graph_test.go
+++ b/graph/graph_test.go
@@ -148,6 +148,9 @@
 	if d := j.Chain(); d != 3*time.Second {
 		t.Errorf("chain %s", d)
 	}
+	if a, b := j.ChainFrom(0), j.ChainFrom(1); a != 3*time.Second || b != 2*time.Second {
+		t.Errorf("chains %s and %s from the steps", a, b)
+	}
 	j.Repeat, j.First, j.Interval = 3, 5000, 2*time.Second
 	if d := j.Due(2); d != 9000 {
 		t.Errorf("third occurrence due at %d ms", d)
--- a/leader/order.go
+++ b/leader/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,8 +13,6 @@
 
 // Weights of the order and of what a stop costs.
 const (
-	// classWeight sets the classes apart in a rank, in revisions of the store.
-	classWeight = 1e12
 	// acceleratorCores is what an accelerator counts in cores.
 	acceleratorCores = 8
 	milliCores       = 1000
@@ -23,14 +22,26 @@
 	evictionCost = 0.5
 )
 
-// rank orders the units of jobs: claims first, then by the class of the queue,
-// then by age.
-func (t *term) rank(j *job, q *policy.Queue) float64 {
-	r := classWeight*float64(q.Priority+1) + float64(j.revision)
-	if j.claim {
-		r -= classWeight
+// order returns what decides the turn of a step of an occurrence; wall is the time
+// of day in Unix milliseconds.
+func (t *term) order(j *job, q *policy.Queue, occurrence, step int, now time.Time, wall int64) alloc.Order {
+	waited := now.Sub(j.arrived)
+	if j.Timed() {
+		waited = time.Duration(wall-j.Due(occurrence)) * time.Millisecond
+	}
+	// Estimates may be far too low; what the queue's runs took says more.
+	scale := 1.0
+	if c, m := j.Chain(), t.learnt[j.Queue]; c > 0 {
+		scale = max(scale, float64(m)*float64(len(j.Steps))/float64(c))
+	}
+	left := time.Duration(scale * float64(j.ChainFrom(step)))
+	aim := time.Duration(q.Slack*scale*float64(j.Chain())) + q.Target
+	return alloc.Order{
+		Claim:    j.claim,
+		Class:    q.Priority,
+		Standing: alloc.StandingOf(waited, left, aim),
+		Age:      float64(j.revision),
 	}
-	return r
 }
 
 // objective is how long a job may take to be in time, by its estimates.
@@ -106,6 +117,21 @@
 	return false
 }
 
+// minExpected is how long a run is expected to go on that is past its time.
+const minExpected = time.Second
+
+// expected returns how long a run of a step takes by what its queue's runs took,
+// or else by its estimate.
+func (t *term) expected(j *job, s *graph.Step) time.Duration {
+	if s.Lasting {
+		return math.MaxInt64
+	}
+	if m := t.learnt[j.Queue]; m > 0 {
+		return m
+	}
+	return s.Estimate
+}
+
 // learnWeight is the weight of the newest run time in the mean.
 const learnWeight = 0.2
 
@@ -215,6 +241,10 @@
 	v.Cost += stopCost(j, s, r, now)
 	d, timed := r.pace.remaining(r.begun, now)
 	v.Remaining = max(v.Remaining, d)
+	if !timed {
+		d = max(g.term.expected(j, s)-now.Sub(r.begun), minExpected)
+	}
+	v.Expected = max(v.Expected, d)
 	v.Timed = v.Timed && timed && !r.resumed
 	g.runs[n] = append(g.runs[n], r)
 }
--- a/leader/units.go
+++ b/leader/units.go
@@ -39,7 +39,8 @@
 				break
 			}
 			for s := range j.Steps {
-				u = append(u, t.stepUnits(j, q, k, s, now, at, room[q.Service])...)
+				o := t.order(j, q, k, s, now, wall)
+				u = append(u, t.stepUnits(j, q, k, s, o, now, at, room[q.Service])...)
 			}
 		}
 	}
@@ -47,16 +48,18 @@
 }
 
 // stepUnits returns what may start now of one step.
-func (t *term) stepUnits(j *job, q *policy.Queue, occurrence, step int, now time.Time, at []*member, room graph.Size) []alloc.Unit {
+func (t *term) stepUnits(j *job, q *policy.Queue, occurrence, step int, o alloc.Order, now time.Time, at []*member, room graph.Size) []alloc.Unit {
 	s := &j.Steps[step]
 	v := alloc.Unit{
 		Job:     j.ID,
 		Service: q.Service,
 		Step:    s,
-		Rank:    t.rank(j, q),
-		Urgent:  q.Priority == 0,
+		Rank:    o.Rank(),
+		Urgent:  o.Preempts(),
 		Claim:   j.claim,
 		Slack:   t.slack(j, q, now),
+		Runs:    t.expected(j, s),
+		Reserve: o.Standing == alloc.InTime,
 		Spread:  now.Sub(j.arrived) > time.Duration(spreadWait*float64(s.Estimate)),
 	}
 	var tasks []graph.Task
@@ -96,6 +99,7 @@
 	for i, k := range tasks {
 		v.Tasks = []graph.Task{k}
 		v.Waits = !j.claim && busy+i >= most
+		v.Reserve = o.Standing == alloc.InTime && !v.Waits
 		u = append(u, v)
 	}
 	return u
