Ask a worker that has not answered until it does, also when nothing runs there

A worker was mute while its agent polled it; its leases ran out, so nothing was left to poll for, and the silence stayed on record for good.

Change: an agent polls on until the worker has answered. A start that a worker refuses as wrong counts as doubt about it, so that the task goes elsewhere first.

Tests: TestWorkerThatWasMute, seen to fail before (lease until 0); TestJudgeOfRefusals.

--- a/leader/judge.go
+++ b/leader/judge.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hemlockhinge/graph"
+	"hemlockhinge/wire"
 )
 
 // Rules by which a worker is taken for bad, and tried again.
@@ -35,6 +36,17 @@
 	}
 }
 
+// refused takes note of a start that the worker has refused for no reason of room
+// or time: the task is better tried elsewhere first.
+func (g *judge) refused(t graph.Task, c wire.Code, now time.Time) {
+	if c == wire.CodeFailed {
+		g.end(graph.End{
+			Task: t,
+			How:  graph.Failed,
+		}, now)
+	}
+}
+
 // doubt returns how bad the worker seems: 0 for none, closedDoubt when it gets
 // no tasks for a while.
 func (g *judge) doubt(now time.Time) int {
--- a/leader/judge_test.go
+++ b/leader/judge_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hemlockhinge/graph"
+	"hemlockhinge/wire"
 )
 
 func TestJudge(t *testing.T) {
@@ -37,3 +38,26 @@
 		})
 	}
 }
+
+// TestJudgeOfRefusals covers a worker that refuses what others would take: a task
+// that it has refused goes elsewhere first, and two jobs' refusals close it.
+func TestJudgeOfRefusals(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var g judge
+	for i, c := range []struct {
+		job  string
+		code wire.Code
+		want int
+	}{
+		{"a", wire.CodeBusy, 0},
+		{"a", wire.CodeFailed, 1},
+		{"a", wire.CodeFailed, 1},
+		{"b", wire.CodeLost, 1},
+		{"b", wire.CodeFailed, closedDoubt},
+	} {
+		g.refused(graph.Task{Job: c.job}, c.code, now)
+		if d := g.doubt(now); d != c.want {
+			t.Errorf("after refusal %d: doubt %d, not %d", i, d, c.want)
+		}
+	}
+}
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -212,6 +212,7 @@
 		t.log.WithFields(logrus.Fields{"task": r.task.String(), "attempt": r.attempt, "agent": r.at.addr, "code": f.Code.String()}).WithError(err).Warn("run_refused")
 		delete(j.runs, r.task)
 		delete(r.at.runs, r.task)
+		r.at.judge.refused(r.task, f.Code, time.Now())
 		j.again[r.task] = time.Now().Add(retryInterval)
 		if f.Code == wire.CodeTicket {
 			t.book.Drop(r.task.StepName(), lifeOf(r.at))
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -11,7 +11,8 @@
 func (r *Runner) pollLoop(c context.Context) {
 	for c.Err() == nil {
 		r.mu.Lock()
-		settled, idle := r.settled, r.ledger.Idle()
+		// A worker that has not answered is asked until it does.
+		settled, idle := r.settled, r.ledger.Idle() && r.silent.IsZero()
 		unnoted := len(r.ledger.Ends()) > 0
 		r.mu.Unlock()
 		switch {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -15,6 +15,7 @@
 	"hemlockhinge/fence"
 	"hemlockhinge/graph"
 	"hemlockhinge/meter"
+	"hemlockhinge/pause"
 	"hemlockhinge/runner"
 	"hemlockhinge/wire"
 )
@@ -29,14 +30,33 @@
 	Accelerators: 8,
 }
 
-// obedient is a worker that answers every call.
+// obedient is a worker that answers every call, unless it is mute.
 type obedient struct {
 	running []fence.Run
 	starts  int
+	mute    bool
+	// until is the end of the lease of the last start.
+	until int64
 }
 
-func (w *obedient) Start(_ context.Context, o runner.StartOrder) (runner.Answer, error) {
+// hear waits in vain for a mute worker's answer.
+func (w *obedient) hear(c context.Context, op string) error {
+	if !w.mute {
+		return nil
+	}
+	<-c.Done()
+	return &runner.NoAnswerError{
+		Op:  op,
+		Err: c.Err(),
+	}
+}
+
+func (w *obedient) Start(c context.Context, o runner.StartOrder) (runner.Answer, error) {
+	if err := w.hear(c, "start"); err != nil {
+		return runner.Answer{}, err
+	}
 	w.starts++
+	w.until = o.UntilMS
 	w.running = append(w.running, fence.Run{
 		Task:    o.Task,
 		Attempt: o.Attempt,
@@ -53,6 +73,9 @@
 }
 
 func (w *obedient) Hold(c context.Context, o runner.HoldOrder) (runner.Answer, error) {
+	if err := w.hear(c, "hold"); err != nil {
+		return runner.Answer{}, err
+	}
 	select {
 	case <-c.Done():
 	case <-time.After(o.Wait):
@@ -94,6 +117,8 @@
 		if _, err := r.Handle(c, p, &wire.Lead{Epoch: 1, Session: 1}); err != nil {
 			t.Fatal(err)
 		}
+		go contact(c, r, p)
+		time.Sleep(time.Second)
 		f(c, r, p)
 		cancel()
 		_ = a.Close()
@@ -102,15 +127,31 @@
 	})
 }
 
+// contact keeps the scheduler's contact with a runner until c ends.
+func contact(c context.Context, r *runner.Runner, p *wire.Peer) {
+	for echo := int64(0); pause.For(c, lease/10); {
+		if m, err := r.Handle(c, p, &wire.Ping{EchoMS: echo}); err == nil {
+			if v, ok := m.(*wire.Pong); ok {
+				echo = v.AgentMS
+			}
+		}
+	}
+}
+
 // launch orders a start and returns the code of its refusal, 0 for none.
 func launch(c context.Context, r *runner.Runner, p *wire.Peer, task string, attempt int) wire.Code {
-	_, err := r.Handle(c, p, &wire.Launch{
+	m, err := r.Handle(c, p, &wire.Ping{})
+	v, ok := m.(*wire.Pong)
+	if err != nil || !ok {
+		return wire.CodeInternal
+	}
+	_, err = r.Handle(c, p, &wire.Launch{
 		Task:    task,
 		Attempt: attempt,
 		Size: graph.Size{
 			Accelerators: 1,
 		},
-		EchoMS: 1000,
+		EchoMS: v.AgentMS,
 	})
 	var f *wire.RefusedError
 	if errors.As(err, &f) {
@@ -142,3 +183,22 @@
 		}
 	})
 }
+
+// TestWorkerThatWasMute covers a worker that answers nothing for longer than its
+// leases last, while nothing more is wanted of it: its next start has a lease.
+func TestWorkerThatWasMute(t *testing.T) {
+	w := &obedient{}
+	withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
+		if k := launch(c, r, p, "0123456789abcdef.0.0.0", 1); k != 0 {
+			t.Fatalf("first start: code %s", k)
+		}
+		w.mute = true
+		time.Sleep(2 * lease)
+		w.mute = false
+		w.running = nil
+		time.Sleep(lease / 2)
+		if k := launch(c, r, p, "0123456789abcdef.0.0.1", 1); k != 0 || w.until <= 0 {
+			t.Errorf("start after the silence: code %s, lease until %d", k, w.until)
+		}
+	})
+}
