List the units of a pass in small steps; write the ledger's property as a state machine

Moves only: lister takes the values that every step needs, and a step's tasks are found before its order is reckoned.

--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -134,89 +134,132 @@
 	}
 }
 
-// TestLedgerCoversTheWorker lets a worker carry orders out late, or never, in
-// any order: whatever runs there is always in the ledger.
+// order is a start that the worker may carry out late.
+type order struct {
+	attempt int
+	token   fence.Token
+}
+
+// hindered is a worker that carries orders out late, or never, in any order, and
+// whose answers may be lost or late; and the ledger of its agent.
+type hindered struct {
+	ledger  *fence.Ledger
+	seen    fence.Token
+	running map[int]bool
+	late    []order
+	lists   []fence.Listing
+	attempt int
+}
+
+func numbered(n int) graph.Task {
+	return graph.Task{
+		Job:   "a",
+		Index: n,
+	}
+}
+
+// begin notes the next start in the ledger.
+func (h *hindered) begin() fence.Token {
+	h.attempt++
+	return h.ledger.Begin(numbered(h.attempt), h.attempt, size)
+}
+
+// carryOut has the worker start an attempt, unless it has seen a higher token.
+func (h *hindered) carryOut(attempt int, k fence.Token) bool {
+	if k < h.seen {
+		return false
+	}
+	h.seen = k
+	h.running[attempt] = true
+	return true
+}
+
+// list returns what the worker shows now.
+func (h *hindered) list() fence.Listing {
+	h.seen = max(h.seen, h.ledger.Token())
+	v := listing(h.ledger)
+	for n := range h.running {
+		v.Running = append(v.Running, fence.Run{
+			Task:    numbered(n),
+			Attempt: n,
+		})
+	}
+	return v
+}
+
+// StartAnswered is a start with its answer.
+func (h *hindered) StartAnswered(*rapid.T) {
+	k := h.begin()
+	if h.carryOut(h.attempt, k) {
+		h.ledger.Confirm(numbered(h.attempt), h.attempt)
+		return
+	}
+	h.ledger.Reject(numbered(h.attempt), h.attempt)
+}
+
+// StartLate is a start that has no answer and may be carried out later.
+func (h *hindered) StartLate(*rapid.T) {
+	k := h.begin()
+	h.late = append(h.late, order{
+		attempt: h.attempt,
+		token:   k,
+	})
+}
+
+// StartAnswerLost is a start that is carried out and whose answer is lost.
+func (h *hindered) StartAnswerLost(*rapid.T) {
+	k := h.begin()
+	h.carryOut(h.attempt, k)
+}
+
+// LateOrder carries out one of the late starts.
+func (h *hindered) LateOrder(t *rapid.T) {
+	if len(h.late) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(h.late)-1).Draw(t, "which")
+	o := h.late[i]
+	h.late = append(h.late[:i], h.late[i+1:]...)
+	h.carryOut(o.attempt, o.token)
+}
+
+// List takes in a list, at times under a higher token.
+func (h *hindered) List(t *rapid.T) {
+	if rapid.Bool().Draw(t, "raised") {
+		h.ledger.Raise(0)
+	}
+	h.ledger.Apply(h.list())
+}
+
+// ListLate is a list that is made now and arrives later.
+func (h *hindered) ListLate(*rapid.T) { h.lists = append(h.lists, h.list()) }
+
+// LateList takes in one of the late lists.
+func (h *hindered) LateList(t *rapid.T) {
+	if len(h.lists) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(h.lists)-1).Draw(t, "which list")
+	h.ledger.Apply(h.lists[i])
+	h.lists = append(h.lists[:i], h.lists[i+1:]...)
+}
+
+// Check fails when something runs at the worker that is not in the ledger.
+func (h *hindered) Check(t *rapid.T) {
+	for n := range h.running {
+		if !h.ledger.Has(numbered(n), n) {
+			t.Fatalf("run %d is at the worker and not in the ledger", n)
+		}
+	}
+}
+
+// TestLedgerCoversTheWorker covers every interleaving of orders, answers and lists:
+// whatever runs at the worker is always in the ledger.
 func TestLedgerCoversTheWorker(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := ledger()
-		type order struct {
-			attempt int
-			token   fence.Token
-		}
-		var seen fence.Token
-		running := map[int]bool{}
-		var late []order
-		var lists []fence.Listing
-		attempt := 0
-		list := func() fence.Listing {
-			seen = max(seen, l.Token())
-			v := listing(l)
-			for n := range running {
-				v.Running = append(v.Running, fence.Run{Task: graph.Task{Job: "a", Index: n}, Attempt: n})
-			}
-			return v
-		}
-		t.Repeat(map[string]func(*rapid.T){
-			"start answered": func(t *rapid.T) {
-				attempt++
-				k := l.Begin(graph.Task{Job: "a", Index: attempt}, attempt, size)
-				if k < seen {
-					l.Reject(graph.Task{Job: "a", Index: attempt}, attempt)
-					return
-				}
-				seen = k
-				running[attempt] = true
-				l.Confirm(graph.Task{Job: "a", Index: attempt}, attempt)
-			},
-			"start unanswered": func(t *rapid.T) {
-				attempt++
-				late = append(late, order{
-					attempt: attempt,
-					token:   l.Begin(graph.Task{Job: "a", Index: attempt}, attempt, size),
-				})
-			},
-			"late order": func(t *rapid.T) {
-				if len(late) == 0 {
-					return
-				}
-				i := rapid.IntRange(0, len(late)-1).Draw(t, "which")
-				o := late[i]
-				late = append(late[:i], late[i+1:]...)
-				if o.token >= seen {
-					seen = o.token
-					running[o.attempt] = true
-				}
-			},
-			"start whose answer is lost": func(*rapid.T) {
-				attempt++
-				k := l.Begin(graph.Task{Job: "a", Index: attempt}, attempt, size)
-				if k >= seen {
-					seen = k
-					running[attempt] = true
-				}
-			},
-			"list": func(t *rapid.T) {
-				if rapid.Bool().Draw(t, "raised") {
-					l.Raise(0)
-				}
-				l.Apply(list())
-			},
-			"list that comes late": func(*rapid.T) { lists = append(lists, list()) },
-			"late list": func(t *rapid.T) {
-				if len(lists) == 0 {
-					return
-				}
-				i := rapid.IntRange(0, len(lists)-1).Draw(t, "which list")
-				l.Apply(lists[i])
-				lists = append(lists[:i], lists[i+1:]...)
-			},
-			"": func(t *rapid.T) {
-				for n := range running {
-					if !l.Has(graph.Task{Job: "a", Index: n}, n) {
-						t.Fatalf("run %d is at the worker and not in the ledger", n)
-					}
-				}
-			},
-		})
+		t.Repeat(rapid.StateMachineActions(&hindered{
+			ledger:  ledger(),
+			running: map[int]bool{},
+		}))
 	})
 }
--- a/leader/units.go
+++ b/leader/units.go
@@ -21,50 +21,99 @@
 	return false
 }
 
+// lister lists the units of one pass.
+type lister struct {
+	term *term
+	now  time.Time
+	// wall is the time of day in Unix milliseconds.
+	wall int64
+	at   []*member
+	// room is the whole room of each service.
+	room map[string]graph.Size
+	list []alloc.Unit
+}
+
 // units returns all that may start now.
 func (t *term) units(now time.Time, at []*member, room map[string]graph.Size) []alloc.Unit {
+	l := lister{
+		term: t,
+		now:  now,
+		wall: t.wall(now),
+		at:   at,
+		room: room,
+	}
 	open := t.unaccounted()
-	wall := t.wall(now)
-	var u []alloc.Unit
 	for _, j := range t.jobs {
-		if !j.live() || (open && j.revision < t.grip.epoch) {
-			continue
+		if j.live() && (!open || j.revision >= t.grip.epoch) {
+			l.add(j)
 		}
-		q := t.queue(j)
-		if q == nil {
-			continue
+	}
+	return l.list
+}
+
+// add lists what may start of a job.
+func (l *lister) add(j *job) {
+	q := l.term.queue(j)
+	if q == nil {
+		return
+	}
+	for k := range j.Occurrences() {
+		if j.Timed() && j.Due(k) > l.wall {
+			break
 		}
-		for k := range j.Occurrences() {
-			if j.Timed() && j.Due(k) > wall {
-				break
-			}
-			for s := range j.Steps {
-				o := t.order(j, q, k, s, now, wall)
-				u = append(u, t.stepUnits(j, q, k, s, o, now, at, room[q.Service])...)
-			}
+		for s := range j.Steps {
+			l.addStep(j, q, k, s)
 		}
 	}
-	return u
 }
 
-// stepUnits returns what may start now of one step.
-func (t *term) stepUnits(j *job, q *policy.Queue, occurrence, step int, o alloc.Order, now time.Time, at []*member, room graph.Size) []alloc.Unit {
+// addStep lists what may start of one step: its gang, or its tasks one by one.
+func (l *lister) addStep(j *job, q *policy.Queue, occurrence, step int) {
 	s := &j.Steps[step]
-	v := alloc.Unit{
+	tasks, busy := j.waiting(occurrence, step, l.now)
+	switch {
+	case len(tasks) == 0 || !j.prog.StepDue(j.Job, occurrence, step):
+		return
+	case s.Gang && (busy > 0 || len(tasks) < s.Count):
+		return
+	}
+	o := l.term.order(j, q, occurrence, step, l.now, l.wall)
+	u := alloc.Unit{
 		Job:     j.ID,
 		Service: q.Service,
 		Step:    s,
+		Tasks:   tasks,
 		Rank:    o.Rank(),
 		Urgent:  o.Preempts(),
 		Claim:   j.claim,
-		Slack:   t.slack(j, q, now),
-		Runs:    t.expected(j, s),
+		Slack:   l.term.slack(j, q, l.now),
+		Runs:    l.term.expected(j, s),
 		Reserve: o.Standing == alloc.InTime,
-		Spread:  now.Sub(j.arrived) > time.Duration(spreadWait*float64(s.Estimate)),
+		Spread:  l.now.Sub(j.arrived) > time.Duration(spreadWait*float64(s.Estimate)),
+	}
+	if q.Advised && l.term.l.p.Adviser != nil {
+		u.Allowed = l.term.approved(tasks[0], l.at, l.now)
+	}
+	if s.MaxPerWorker > 0 {
+		u.Held = j.held(occurrence, step, l.at)
+	}
+	if s.Gang {
+		l.list = append(l.list, u)
+		return
 	}
-	var tasks []graph.Task
-	busy := 0
-	for i := range s.Count {
+	most := waveOf(l.room[q.Service], s.Size)
+	for i := range tasks {
+		v := u
+		v.Tasks = tasks[i : i+1]
+		v.Waits = !j.claim && busy+i >= most
+		v.Reserve = u.Reserve && !v.Waits
+		l.list = append(l.list, v)
+	}
+}
+
+// waiting returns the tasks of a step that may be started, and how many run.
+func (j *job) waiting(occurrence, step int, now time.Time) (tasks []graph.Task, busy int) {
+	for i := range j.Steps[step].Count {
 		k := graph.Task{
 			Job:        j.ID,
 			Occurrence: occurrence,
@@ -78,31 +127,7 @@
 			tasks = append(tasks, k)
 		}
 	}
-	if len(tasks) == 0 || !j.prog.StepDue(j.Job, occurrence, step) {
-		return nil
-	}
-	if q.Advised && t.l.p.Adviser != nil {
-		v.Allowed = t.approved(tasks[0], at, now)
-	}
-	if s.MaxPerWorker > 0 {
-		v.Held = j.held(occurrence, step, at)
-	}
-	if s.Gang {
-		if busy > 0 || len(tasks) < s.Count {
-			return nil
-		}
-		v.Tasks = tasks
-		return []alloc.Unit{v}
-	}
-	var u []alloc.Unit
-	most := waveOf(room, s.Size)
-	for i, k := range tasks {
-		v.Tasks = []graph.Task{k}
-		v.Waits = !j.claim && busy+i >= most
-		v.Reserve = o.Standing == alloc.InTime && !v.Waits
-		u = append(u, v)
-	}
-	return u
+	return tasks, busy
 }
 
 // waveShare is the part of a service's whole room that a step's tasks take by
