Let an urgent unit throw away at most twice its own work

Change: an urgent unit that is no claim stops others only while what is lost, with its weight for jobs stopped before, is at most twice its own work; else it waits, and room is kept for it.

Test: TestStopsCostLessThanTheyGain, seen to fail before (the field did not exist; with the bound taken out, one stop in place of none).

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -78,6 +78,8 @@
 	Spread bool
 	// Runs is how long the unit is expected to run.
 	Runs time.Duration
+	// Work is what the unit does, in the measure of Group.Cost; 0 when unknown.
+	Work float64
 	// Reserve has room kept for the unit when it finds none.
 	Reserve bool
 
@@ -138,6 +140,7 @@
 		p, ok := plan{}, false
 		if u[i].Urgent && !u[i].Waits {
 			p, ok = makeRoom(w, g, &u[i])
+			ok = ok && u[i].worth(p.cost)
 		}
 		if !ok {
 			if u[i].Reserve && !kept[z] {
--- a/alloc/alloc_test.go
+++ b/alloc/alloc_test.go
@@ -203,3 +203,32 @@
 		alloc.Decide(w, nil, u)
 	}
 }
+
+// TestStopsCostLessThanTheyGain covers the pattern of a small urgent job that finds
+// its only room under a large gang: it waits, unless it is guaranteed.
+func TestStopsCostLessThanTheyGain(t *testing.T) {
+	work := func(w float64) func(*alloc.Unit) {
+		return func(u *alloc.Unit) {
+			urgent(u)
+			u.Work = w
+		}
+	}
+	cases := []struct {
+		name string
+		unit alloc.Unit
+		want int
+	}{
+		{"little is lost", unit(1, 1, 4, work(60)), 1},
+		{"too much is lost", unit(1, 1, 4, work(40)), 0},
+		{"guaranteed", unit(1, 1, 4, func(u *alloc.Unit) { work(40)(u); u.Claim = true }), 1},
+		{"of unknown work", unit(1, 1, 4, work(0)), 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := alloc.Decide(workers(0), []alloc.Group{group(0, 8, 100)}, []alloc.Unit{c.unit})
+			if len(d.Stop) != c.want {
+				t.Errorf("%d stops, want %d", len(d.Stop), c.want)
+			}
+		})
+	}
+}
--- a/alloc/preempt.go
+++ b/alloc/preempt.go
@@ -47,6 +47,16 @@
 	return u.Claim && g.Borrowed
 }
 
+// maxLoss is how much work an urgent unit may have thrown away, as a multiple of its
+// own.
+const maxLoss = 2
+
+// worth reports whether a unit may have so much work thrown away. What a customer is
+// guaranteed has no such bound.
+func (u *Unit) worth(cost float64) bool {
+	return u.Claim || u.Work == 0 || cost <= maxLoss*u.Work
+}
+
 // plan is a way to make room for a unit.
 type plan struct {
 	at    []int
