Let kept room hold no job back for long at a calm site; call the timeliness of jobs so

Cause: a kept place bars longer units from free room. At a site of which less than half is in use that would leave a job waiting beside free workers, which nobody gains from (no play showed it; read from the code).

Change: a unit whose job has stood still for 2 s passes kept places while half of the scarcest resource or less is in use.

Tests: three cases of TestBackfill.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -78,6 +78,8 @@
 	Spread bool
 	// Runs is how long the unit is expected to run.
 	Runs time.Duration
+	// Idle is for how long the unit's job could have run and nothing of it did.
+	Idle time.Duration
 	// Work is what the unit does, in the measure of Group.Cost; 0 when unknown.
 	Work float64
 	// Reserve has room kept for the unit when it finds none.
@@ -117,10 +119,11 @@
 	for i := range w {
 		w[i].far = w[i].Free
 	}
+	calm := calmServices(w)
 	full := map[shape]bool{}
 	kept := map[shape]bool{}
 	for i := range u {
-		u[i].long = !b.passes(&u[i])
+		u[i].long = !b.passes(&u[i]) && !(u[i].Idle >= maxIdle && calm[u[i].Service])
 		// Room only shrinks, so a shape that found none finds none later.
 		z := shapeOf(&u[i])
 		var at []int
--- a/alloc/backfill.go
+++ b/alloc/backfill.go
@@ -13,6 +13,33 @@
 // time: each costs what runs elsewhere meanwhile.
 const maxShadows = 4
 
+// maxIdle is how long a job waits with nothing running for the sake of kept places
+// while calmShare of its service or less is in use: room that stands free for so long
+// serves nobody.
+const (
+	maxIdle   = 2 * time.Second
+	calmShare = 0.5
+)
+
+// calmServices returns the services of whose scarcest resource calmShare or less is
+// in use.
+func calmServices(w []Worker) map[string]bool {
+	total := map[string]graph.Size{}
+	used := map[string]graph.Size{}
+	for _, v := range w {
+		if !v.Closed {
+			total[v.Service] = total[v.Service].Add(v.Total)
+			used[v.Service] = used[v.Service].Add(v.Total.Sub(v.Free))
+		}
+	}
+	calm := map[string]bool{}
+	for s, z := range total {
+		u := used[s]
+		calm[s] = max(share(u.MilliCPU, z.MilliCPU), share(u.MemoryMiB, z.MemoryMiB), share(u.Accelerators, z.Accelerators)) <= calmShare
+	}
+	return calm
+}
+
 // shadow is a place that is kept for a unit from a moment in the future.
 type shadow struct {
 	start time.Duration
--- a/alloc/backfill_test.go
+++ b/alloc/backfill_test.go
@@ -20,6 +20,12 @@
 	return func(u *alloc.Unit) { u.Runs = d }
 }
 
+// stoodStill makes a unit of a job of which nothing has run for a while.
+func stoodStill(u *alloc.Unit) {
+	u.Runs = 5 * time.Second
+	u.Idle = 2 * time.Second
+}
+
 func TestBackfill(t *testing.T) {
 	const s = time.Second
 	cases := []struct {
@@ -32,6 +38,9 @@
 		{"a long one would delay the gang", []int{4, 0}, []alloc.Group{ending(0, 4, 2*s), ending(1, 8, 4*s)}, unit(2, 1, 1, runs(5*s)), 0},
 		{"a short one is over before", []int{4, 0}, []alloc.Group{ending(0, 4, 2*s), ending(1, 8, 4*s)}, unit(2, 1, 1, runs(4*s)), 1},
 		{"a long one beside the gang", []int{4, 0, 1}, []alloc.Group{ending(0, 4, 2*s), ending(1, 8, 4*s), ending(2, 7, 9*s)}, unit(2, 1, 1, runs(5*s)), 1},
+		{"a long one that has stood still at a busy site", []int{4, 0}, []alloc.Group{ending(0, 4, 2*s), ending(1, 8, 4*s)}, unit(2, 1, 1, stoodStill), 0},
+		{"a long one that has stood still at a calm site", []int{8, 0}, []alloc.Group{ending(1, 8, 4*s)}, unit(2, 1, 1, stoodStill), 1},
+		{"a long one that has just come to a calm site", []int{8, 0}, []alloc.Group{ending(1, 8, 4*s)}, unit(2, 1, 1, runs(5*s)), 0},
 		{"no place can be foreseen", []int{4, 0}, []alloc.Group{ending(0, 4, 2*s)}, unit(2, 1, 1, runs(5*s)), 1},
 	}
 	for _, c := range cases {
--- a/alloc/order.go
+++ b/alloc/order.go
@@ -2,31 +2,31 @@
 
 import "time"
 
-// Standing says what a unit's job can still earn if it starts now.
-type Standing uint8
+// Timeliness says what a unit's job can still earn if it starts now.
+type Timeliness uint8
 
-// The standings, the best first.
+// How timely a job can be, the best first.
 const (
-	// InTime jobs can still end within their objective.
-	InTime Standing = iota
-	// Late jobs are still worth something to their callers.
-	Late
+	// OnTime jobs can still end within their objective.
+	OnTime Timeliness = iota
+	// Tardy jobs are still worth something to their callers.
+	Tardy
 	// Overdue jobs are worth nothing any more. They give way to all others, and
 	// are done all the same.
 	Overdue
 )
 
-// lateFactor times its objective is how long a job's end is worth anything.
-const lateFactor = 3
+// tardyFactor times its objective is how long a job's end is worth anything.
+const tardyFactor = 3
 
-// StandingOf returns the standing of a job that has waited, has so much left to
+// TimelinessOf returns the timeliness of a job that has waited, has so much left to
 // run, and is in time within its objective.
-func StandingOf(waited, left, objective time.Duration) Standing {
+func TimelinessOf(waited, left, objective time.Duration) Timeliness {
 	switch end := waited + left; {
 	case end <= objective:
-		return InTime
-	case end <= lateFactor*objective:
-		return Late
+		return OnTime
+	case end <= tardyFactor*objective:
+		return Tardy
 	}
 	return Overdue
 }
@@ -36,9 +36,9 @@
 	// Claim units are within what their customer is guaranteed.
 	Claim bool
 	// Class is the priority of the queue; 0 comes first.
-	Class    int
-	Standing Standing
-	// Age orders units of one class and standing; the older has the lower one.
+	Class      int
+	Timeliness Timeliness
+	// Age orders units of one class and timeliness; the older has the lower one.
 	Age float64
 }
 
@@ -46,8 +46,8 @@
 const (
 	// classStep sets classes apart; ages are far below it.
 	classStep = 1e12
-	// lateStep sets late units behind those of their class that are in time.
-	lateStep = classStep / 2
+	// tardyStep sets tardy units behind those of their class that are in time.
+	tardyStep = classStep / 2
 	// overdueStep sets overdue units behind those of all classes.
 	overdueStep = 1000 * classStep
 )
@@ -61,15 +61,15 @@
 		return o.Age
 	}
 	r := classStep*float64(o.Class+1) + o.Age
-	switch o.Standing {
-	case Late:
-		r += lateStep
+	switch o.Timeliness {
+	case Tardy:
+		r += tardyStep
 	case Overdue:
 		r += overdueStep
-	case InTime:
+	case OnTime:
 	}
 	return r
 }
 
 // Preempts reports whether units of this order may have others stopped.
-func (o Order) Preempts() bool { return o.Claim || o.Class == 0 && o.Standing != Overdue }
+func (o Order) Preempts() bool { return o.Claim || o.Class == 0 && o.Timeliness != Overdue }
--- a/alloc/order_test.go
+++ b/alloc/order_test.go
@@ -9,23 +9,23 @@
 	"hemlockhinge/alloc"
 )
 
-func TestStanding(t *testing.T) {
+func TestTimeliness(t *testing.T) {
 	const s = time.Second
 	cases := []struct {
 		name              string
 		waited, left, aim time.Duration
-		want              alloc.Standing
+		want              alloc.Timeliness
 	}{
-		{"just handed in", 0, 8 * s, 12 * s, alloc.InTime},
-		{"just in time", 4 * s, 8 * s, 12 * s, alloc.InTime},
-		{"late", 5 * s, 8 * s, 12 * s, alloc.Late},
-		{"just worth something", 28 * s, 8 * s, 12 * s, alloc.Late},
+		{"just handed in", 0, 8 * s, 12 * s, alloc.OnTime},
+		{"just in time", 4 * s, 8 * s, 12 * s, alloc.OnTime},
+		{"late", 5 * s, 8 * s, 12 * s, alloc.Tardy},
+		{"just worth something", 28 * s, 8 * s, 12 * s, alloc.Tardy},
 		{"overdue", 29 * s, 8 * s, 12 * s, alloc.Overdue},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if v := alloc.StandingOf(c.waited, c.left, c.aim); v != c.want {
-				t.Errorf("standing %d, want %d", v, c.want)
+			if v := alloc.TimelinessOf(c.waited, c.left, c.aim); v != c.want {
+				t.Errorf("timeliness %d, want %d", v, c.want)
 			}
 		})
 	}
@@ -33,15 +33,15 @@
 
 func TestRank(t *testing.T) {
 	first := []alloc.Order{
-		{Claim: true, Class: 0, Standing: alloc.Overdue, Age: 9},
+		{Claim: true, Class: 0, Timeliness: alloc.Overdue, Age: 9},
 		{Class: 0, Age: 1},
 		{Class: 0, Age: 2},
-		{Class: 0, Standing: alloc.Late, Age: 1},
+		{Class: 0, Timeliness: alloc.Tardy, Age: 1},
 		{Class: 1, Age: 1},
-		{Class: 1, Standing: alloc.Late, Age: 1},
+		{Class: 1, Timeliness: alloc.Tardy, Age: 1},
 		{Class: 2, Age: 1},
-		{Class: 0, Standing: alloc.Overdue, Age: 1},
-		{Class: 1, Standing: alloc.Overdue, Age: 1},
+		{Class: 0, Timeliness: alloc.Overdue, Age: 1},
+		{Class: 1, Timeliness: alloc.Overdue, Age: 1},
 	}
 	if !slices.IsSortedFunc(first, func(a, b alloc.Order) int { return cmp.Compare(a.Rank(), b.Rank()) }) {
 		t.Error("the ranks are not in the order of the list")
@@ -112,8 +112,8 @@
 	byAge, _ := inTime(l, func(q queued, _ time.Duration) float64 { return q.came.Seconds() })
 	good, done := inTime(l, func(q queued, now time.Duration) float64 {
 		return alloc.Order{
-			Standing: alloc.StandingOf(now-q.came, q.run, burstSlack*q.run),
-			Age:      q.came.Seconds(),
+			Timeliness: alloc.TimelinessOf(now-q.came, q.run, burstSlack*q.run),
+			Age:        q.came.Seconds(),
 		}.Rank()
 	})
 	if done != len(l) {
--- a/leader/order.go
+++ b/leader/order.go
@@ -37,10 +37,10 @@
 	left := time.Duration(scale * float64(j.ChainFrom(step)))
 	aim := time.Duration(q.Slack*scale*float64(j.Chain())) + q.Target
 	return alloc.Order{
-		Claim:    j.claim,
-		Class:    q.Priority,
-		Standing: alloc.StandingOf(waited, left, aim),
-		Age:      float64(j.revision),
+		Claim:      j.claim,
+		Class:      q.Priority,
+		Timeliness: alloc.TimelinessOf(waited, left, aim),
+		Age:        float64(j.revision),
 	}
 }
 
--- a/leader/term.go
+++ b/leader/term.go
@@ -47,6 +47,8 @@
 	// claim means that the job is within what its customer is guaranteed.
 	claim   bool
 	evicted int
+	// busy is when something of the job was last seen to run.
+	busy time.Time
 	// endedAt is when this term saw that nothing of the job is left to do.
 	endedAt time.Time
 	// again is when a step whose start was refused may be tried again.
--- a/leader/units.go
+++ b/leader/units.go
@@ -53,6 +53,9 @@
 
 // add lists what may start of a job.
 func (l *lister) add(j *job) {
+	if len(j.runs) > 0 {
+		j.busy = l.now
+	}
 	q := l.term.queue(j)
 	if q == nil {
 		return
@@ -88,8 +91,9 @@
 		Claim:   j.claim,
 		Slack:   l.term.slack(j, q, l.now),
 		Runs:    l.term.expected(j, s),
+		Idle:    j.idle(l.now),
 		Work:    l.work(j, s, len(tasks)),
-		Reserve: o.Standing == alloc.InTime,
+		Reserve: o.Timeliness == alloc.OnTime,
 		Spread:  l.now.Sub(j.arrived) > time.Duration(spreadWait*float64(s.Estimate)),
 	}
 	if q.Advised && l.term.l.p.Adviser != nil {
@@ -113,6 +117,14 @@
 	}
 }
 
+// idle returns for how long nothing of a job has been running.
+func (j *job) idle(now time.Time) time.Duration {
+	if j.busy.After(j.arrived) {
+		return now.Sub(j.busy)
+	}
+	return now.Sub(j.arrived)
+}
+
 // work returns what tasks of a step do, in core-seconds.
 func (l *lister) work(j *job, s *graph.Step, tasks int) float64 {
 	return l.term.expected(j, s).Seconds() * weight(s.Size) * float64(tasks)
