--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -114,60 +114,75 @@
 // by what is placed or taken for urgent units.
 func Decide(w []Worker, g []Group, u []Unit) Decision {
 	slices.SortStableFunc(u, func(a, b Unit) int { return cmp.Compare(a.Rank, b.Rank) })
-	var d Decision
-	var b backfill
 	for i := range w {
 		w[i].far = w[i].Free
 	}
+	var d Decision
+	var b backfill
 	calm := calmServices(w)
 	full := map[shape]bool{}
 	kept := map[shape]bool{}
 	for i := range u {
-		u[i].long = !b.passes(&u[i]) && !(u[i].Idle >= maxIdle && calm[u[i].Service])
+		v := &u[i]
+		v.long = b.bars(v, calm[v.Service])
 		// Room only shrinks, so a shape that found none finds none later.
-		z := shapeOf(&u[i])
-		var at []int
-		ok := false
+		z := shapeOf(v)
 		if !full[z] {
-			at, ok = place(w, &u[i])
-			full[z] = !ok && u[i].Held == nil && u[i].Allowed == nil
+			if d.start(w, v) {
+				continue
+			}
+			full[z] = v.Held == nil && v.Allowed == nil
 		}
-		if ok {
-			take(w, &u[i], at)
-			d.Start = append(d.Start, Placement{
-				Unit: &u[i],
-				At:   at,
-			})
+		if v.mayStop() && d.makeWay(w, g, v) {
 			continue
 		}
-		p, ok := plan{}, false
-		if u[i].Urgent && !u[i].Waits {
-			p, ok = makeRoom(w, g, &u[i])
-			ok = ok && u[i].worth(p.cost)
+		if v.Reserve && !kept[z] {
+			kept[z] = true
+			b.keep(w, g, v)
 		}
-		if !ok {
-			if u[i].Reserve && !kept[z] {
-				kept[z] = true
-				b.keep(w, g, &u[i])
-			}
+	}
+	return d
+}
+
+// start places a unit and takes its room, if there is any.
+func (d *Decision) start(w []Worker, u *Unit) bool {
+	at, ok := place(w, u)
+	if !ok {
+		return false
+	}
+	take(w, u, at)
+	d.Start = append(d.Start, Placement{
+		Unit: u,
+		At:   at,
+	})
+	return true
+}
+
+// mayStop reports whether groups may be stopped for a unit.
+func (u *Unit) mayStop() bool { return u.Urgent && !u.Waits }
+
+// makeWay has groups stopped so that a unit can start, and takes the room that it
+// will have; false when there is no way that is worth it.
+func (d *Decision) makeWay(w []Worker, g []Group, u *Unit) bool {
+	p, ok := makeRoom(w, g, u)
+	if !ok || !u.worth(p.cost) {
+		return false
+	}
+	for _, k := range p.evict {
+		if g[k].endsWithin(u.Slack) {
 			continue
 		}
-		for _, k := range p.evict {
-			if g[k].endsWithin(u[i].Slack) {
-				continue
-			}
-			d.Stop = append(d.Stop, Eviction{
-				Group: k,
-				For:   &u[i],
-			})
-			g[k].Stopping = true
-			for n, z := range g[k].Parts {
-				w[n].Coming = w[n].Coming.Add(z)
-			}
+		d.Stop = append(d.Stop, Eviction{
+			Group: k,
+			For:   u,
+		})
+		g[k].Stopping = true
+		for n, z := range g[k].Parts {
+			w[n].Coming = w[n].Coming.Add(z)
 		}
-		take(w, &u[i], p.at)
 	}
-	return d
+	take(w, u, p.at)
+	return true
 }
 
 // shape is all that decides whether a unit finds room.
--- a/alloc/backfill.go
+++ b/alloc/backfill.go
@@ -66,6 +66,13 @@
 	return true
 }
 
+// bars reports whether kept places bar a unit from room that is free now. One that
+// has stood still at a calm service is not barred.
+func (b *backfill) bars(u *Unit, calm bool) bool {
+	stoodStill := calm && u.Idle >= maxIdle
+	return !stoodStill && !b.passes(u)
+}
+
 // keep keeps the place in which a unit fits first if groups end as expected.
 func (b *backfill) keep(w []Worker, g []Group, u *Unit) {
 	if len(b.shadows) >= maxShadows {
