Call one copy of lookups, bodies and error handlers; drop what nothing uses

- intake: State and Find shared a lookup with its refusals (locate); a cancellation by /v1/jobs looked the job up twice (CancelFrom).
- refuse: entry and jobapi each had the same error handler and the same bounded read of a body (Handler, Body); jobs.MaxBody for both.
- graph: the chains of a job were reckoned anew for each step in each pass, with a map; they are reckoned once when a scheduler learns of the job.
One formula of the objective.
- alloc: the search for a kept place freed and placed once more what it had found; its check beyond the last index could not be reached (nor that of its twin in sched).

Left: intake's and relay's connection to a peer are alike, but not in what happens when two calls dial at once; one type for both would change that.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -21,7 +21,6 @@
 // Worker is one worker that may take tasks. Free is what its runs leave.
 type Worker struct {
 	ID      string
-	Domain  string
 	Rack    string
 	Service string
 	Labels  []string
--- a/alloc/backfill.go
+++ b/alloc/backfill.go
@@ -81,32 +81,29 @@
 	if b.ends == nil {
 		b.ends = byEnd(g)
 	}
+	// The last place that the search finds is the first in time.
+	var f []Worker
+	s := shadow{
+		size: u.Step.Size,
+	}
 	n := sort.Search(len(b.ends)+1, func(n int) bool {
-		if n > len(b.ends) {
-			return true
+		v := b.freed(w, g, n)
+		at, ok := place(v, u)
+		if ok {
+			f, s.at = v, at
 		}
-		_, ok := place(b.freed(w, g, n), u)
 		return ok
 	})
-	if n > len(b.ends) {
-		return
-	}
-	f := b.freed(w, g, n)
-	at, ok := place(f, u)
-	if !ok {
+	if s.at == nil {
 		return
 	}
-	s := shadow{
-		at:   at,
-		size: u.Step.Size,
-	}
 	if n > 0 {
 		s.start = g[b.ends[n-1]].Expected
 	}
-	for _, i := range at {
+	for _, i := range s.at {
 		f[i].Free = f[i].Free.Sub(s.size)
 	}
-	for _, i := range at {
+	for _, i := range s.at {
 		w[i].far = w[i].far.Min(f[i].Free)
 	}
 	b.shadows = append(b.shadows, s)
--- a/alloc/preempt.go
+++ b/alloc/preempt.go
@@ -10,8 +10,6 @@
 
 // Group is what stops together: a gang, or one task, that runs now.
 type Group struct {
-	// Job names the job, for the record.
-	Job string
 	// Parts is what the group takes of each worker, by the worker's index.
 	Parts map[int]graph.Size
 	// Urgent groups give way only to claims, and only when they are borrowed.
@@ -28,8 +26,6 @@
 	Timed     bool
 	// Expected is how long the group is expected to run on.
 	Expected time.Duration
-	// Key is the caller's own name of the group.
-	Key graph.Task
 }
 
 // endsWithin reports whether the group ends by itself soon enough, so that
--- a/entry/http.go
+++ b/entry/http.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -78,7 +77,7 @@
 		State: func() any { return e.State() },
 		Ready: e.Ready,
 	}, e.registry)
-	h.HTTPErrorHandler = e.fail
+	h.HTTPErrorHandler = refuse.Handler(asProblem)
 	h.Use(e.whileDraining)
 	h.Any("/s/:service", e.serve)
 	h.Any("/s/:service/*", e.serve)
@@ -91,14 +90,6 @@
 	return h
 }
 
-// fail answers a request with a problem document.
-func (e *Entry) fail(err error, c echo.Context) {
-	if c.Response().Committed {
-		return
-	}
-	asProblem(err).Write(c.Response())
-}
-
 // whileDraining asks callers to use another connection for the next request.
 func (e *Entry) whileDraining(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
@@ -161,9 +152,9 @@
 	if err != nil {
 		return refuse.NotRun(http.StatusBadRequest, "bad_version", fmt.Sprintf("If-Match %q is not a version", m))
 	}
-	b, err := io.ReadAll(io.LimitReader(c.Request().Body, maxConfigText+1))
-	if err != nil || len(b) > maxConfigText {
-		return refuse.NotRun(http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("the objects are at most %d bytes", maxConfigText))
+	b, err := refuse.Body(c, maxConfigText, "the objects are")
+	if err != nil {
+		return err
 	}
 	x, cancel := context.WithTimeout(c.Request().Context(), publishTimeout)
 	defer cancel()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -19,7 +18,6 @@
 
 // Limits of the jobs' interface.
 const (
-	maxJobBody    = 256 << 10
 	submitTimeout = 5 * time.Second
 	readTimeout   = 3 * time.Second
 	cancelTries   = 5
@@ -27,9 +25,9 @@
 
 // submit answers POST /v1/jobs.
 func (e *Entry) submit(c echo.Context) error {
-	b, err := io.ReadAll(io.LimitReader(c.Request().Body, maxJobBody+1))
-	if err != nil || len(b) > maxJobBody {
-		return refuse.NotRun(http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a job is at most %d bytes", maxJobBody))
+	b, err := refuse.Body(c, jobs.MaxBody, "a job is")
+	if err != nil {
+		return err
 	}
 	q, err := jobs.ParseRequest(b)
 	if err != nil {
--- a/graph/graph.go
+++ b/graph/graph.go
@@ -121,38 +121,21 @@
 // Chain returns the longest chain of estimates through the steps.
 func (j *Job) Chain() time.Duration {
 	var longest time.Duration
-	for i := range j.Steps {
-		if len(j.Steps[i].After) == 0 {
-			longest = max(longest, j.ChainFrom(i))
-		}
+	for _, d := range j.Chains() {
+		longest = max(longest, d)
 	}
 	return longest
 }
 
-// ChainFrom returns the longest chain of estimates that begins with a step.
-func (j *Job) ChainFrom(step int) time.Duration {
-	at := map[int]time.Duration{step: j.Steps[step].Estimate}
-	longest := at[step]
-	for i := step + 1; i < len(j.Steps); i++ {
+// Chains returns for each step the longest chain of estimates that begins with it.
+func (j *Job) Chains() []time.Duration {
+	l := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		// So far l[i] is the longest chain that follows the step.
+		l[i] += j.Steps[i].Estimate
 		for _, b := range j.Steps[i].After {
-			if d, ok := at[b]; ok {
-				at[i] = max(at[i], d+j.Steps[i].Estimate)
-			}
+			l[b] = max(l[b], l[i])
 		}
-		longest = max(longest, at[i])
 	}
-	return longest
+	return l
 }
-
-// Work returns the accelerator-seconds and core-seconds of one occurrence by
-// its estimates.
-func (j *Job) Work() (accelerators, cores float64) {
-	for _, s := range j.Steps {
-		t := s.Estimate.Seconds() * float64(s.Count)
-		accelerators += t * float64(s.Size.Accelerators)
-		cores += t * float64(s.Size.MilliCPU) / milli
-	}
-	return accelerators, cores
-}
-
-const milli = 1000
--- a/graph/graph_test.go
+++ b/graph/graph_test.go
@@ -148,8 +148,8 @@
 	if d := j.Chain(); d != 3*time.Second {
 		t.Errorf("chain %s", d)
 	}
-	if a, b := j.ChainFrom(0), j.ChainFrom(1); a != 3*time.Second || b != 2*time.Second {
-		t.Errorf("chains %s and %s from the steps", a, b)
+	if l := j.Chains(); l[0] != 3*time.Second || l[1] != 2*time.Second {
+		t.Errorf("chains %v from the steps", l)
 	}
 	j.Repeat, j.First, j.Interval = 3, 5000, 2*time.Second
 	if d := j.Due(2); d != 9000 {
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -181,19 +181,3 @@
 	}
 	return true
 }
-
-// Work returns the number of tasks of a step that are not done.
-func (p *Progress) Work(j *Job, occurrence, step int) int {
-	n := 0
-	for i := range j.Steps[step].Count {
-		t := Task{
-			Occurrence: occurrence,
-			Step:       step,
-			Index:      i,
-		}
-		if !p.Of(j, t).Done {
-			n++
-		}
-	}
-	return n
-}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -245,9 +245,6 @@
 // so, until c ends.
 func (d *Intake) ConfirmLoop(c context.Context) {
 	for pause.For(c, ConfirmAge) {
-		if _, ok := d.fresh(ConfirmAge); ok {
-			continue
-		}
 		if err := d.ask(c, ConfirmAge); err != nil {
 			d.p.Log.WithError(err).Debug("configuration_unconfirmed")
 		}
@@ -378,13 +375,9 @@
 	if e != nil {
 		return nil, "", e
 	}
-	s, q, err := d.stateOf(c, id)
+	s, q, err := d.locate(c, id)
 	if err != nil {
-		d.p.Log.WithError(err).WithField("job", id).Info("state_unknown")
-		return nil, "", d.later("neither the scheduler nor the store can be reached")
-	}
-	if s == "" {
-		return nil, "", fail(http.StatusGone, "job %q does not exist", id)
+		return nil, "", err
 	}
 	t, err := resolve(g, Call{
 		Queue: q,
@@ -410,13 +403,27 @@
 
 // State returns where a job of the target's queue stands.
 func (d *Intake) State(c context.Context, t *Target) (graph.State, error) {
-	s, q, err := d.stateOf(c, t.Rest)
+	s, q, err := d.locate(c, t.Rest)
 	if err != nil {
-		d.p.Log.WithError(err).WithField("job", t.Rest).Info("state_unknown")
-		return "", d.later("neither the scheduler nor the store can be reached")
+		return "", err
 	}
-	if s == "" || q != t.Queue.Name {
-		return "", fail(http.StatusGone, "no such job")
+	if q != t.Queue.Name {
+		return "", noJob(t.Rest)
 	}
 	return s, nil
 }
+
+// locate returns where a job stands and its queue, or *Error.
+func (d *Intake) locate(c context.Context, id string) (graph.State, string, error) {
+	s, q, err := d.stateOf(c, id)
+	if err != nil {
+		d.p.Log.WithError(err).WithField("job", id).Info("state_unknown")
+		return "", "", d.later("neither the scheduler nor the store can be reached")
+	}
+	if s == "" {
+		return "", "", noJob(id)
+	}
+	return s, q, nil
+}
+
+func noJob(id string) *Error { return fail(http.StatusGone, "job %q does not exist", id) }
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -83,6 +83,11 @@
 	if err != nil {
 		return err
 	}
+	return d.CancelFrom(c, t, s)
+}
+
+// CancelFrom is Cancel for a job that was just found in a state.
+func (d *Intake) CancelFrom(c context.Context, t *Target, s graph.State) error {
 	if s.Final() {
 		return nil
 	}
@@ -91,7 +96,7 @@
 		key:    leader.CancelKey(t.Rest),
 		value:  []byte(t.Customer),
 	}
-	err = d.write(c, &w)
+	err := d.write(c, &w)
 	d.p.Log.WithFields(logrus.Fields{
 		"job":     t.Rest,
 		"state":   s,
--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -15,8 +15,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -31,7 +29,6 @@
 
 // Limits of the interface.
 const (
-	maxBody     = 256 << 10
 	callTimeout = 5 * time.Second
 	idBytes     = 8
 	headerKey   = "Idempotency-Key"
@@ -43,7 +40,7 @@
 	Resolve(c context.Context, v intake.Call) (*intake.Target, error)
 	SubmitSame(c context.Context, t *intake.Target, j *graph.Job) error
 	Find(c context.Context, id, key string) (*intake.Target, graph.State, error)
-	Cancel(c context.Context, t *intake.Target) error
+	CancelFrom(c context.Context, t *intake.Target, s graph.State) error
 }
 
 // Ports are what the interface stands on.
@@ -63,7 +60,7 @@
 
 // Mount adds the routes to e, whose errors become problem documents.
 func Mount(e *echo.Echo, p Ports) {
-	e.HTTPErrorHandler = fail
+	e.HTTPErrorHandler = refuse.Handler(problem)
 	e.POST("/v1/jobs", p.submit)
 	e.GET("/v1/jobs/:id", p.get)
 	e.DELETE("/v1/jobs/:id", p.cancel)
@@ -72,13 +69,6 @@
 	})
 }
 
-// fail answers a request with a problem document.
-func fail(err error, c echo.Context) {
-	if !c.Response().Committed {
-		problem(err).Write(c.Response())
-	}
-}
-
 // problem turns an error into a refusal.
 func problem(err error) *refuse.Problem {
 	var e *intake.Error
@@ -98,9 +88,9 @@
 
 // submit answers POST /v1/jobs.
 func (p Ports) submit(c echo.Context) error {
-	b, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBody+1))
-	if err != nil || len(b) > maxBody {
-		return refuse.NotRun(http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a job is at most %d bytes", maxBody))
+	b, err := refuse.Body(c, jobs.MaxBody, "a job is")
+	if err != nil {
+		return err
 	}
 	q, err := jobs.ParseRequest(b)
 	if err != nil {
@@ -151,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.Jobs.Cancel(x, t); err != nil {
+	if err := p.Jobs.CancelFrom(x, t, s); err != nil {
 		return err
 	}
 	if !s.Final() {
--- a/jobs/request.go
+++ b/jobs/request.go
@@ -11,7 +11,9 @@
 
 // Limits of a request.
 const (
-	MaxTasks    = 256
+	MaxTasks = 256
+	// MaxBody bounds the body of a request, in bytes.
+	MaxBody     = 256 << 10
 	maxRunTime  = 60 * 24 * time.Hour
 	maxCommand  = 64
 	idBytes     = 12
--- a/leader/flush.go
+++ b/leader/flush.go
@@ -183,7 +183,7 @@
 	}
 	if q := t.queue(j); q != nil {
 		f["class"] = q.Priority
-		f["objective_ms"] = objective(j.Job, q).Milliseconds()
+		f["objective_ms"] = objective(float64(j.chain), q).Milliseconds()
 	}
 	t.log.WithFields(f).Info("job_ended")
 	t.l.p.Meter.JobEnded(fmt.Sprint(f["class"]), string(j.shown), time.Since(j.arrived), j.firstStart)
--- a/leader/order.go
+++ b/leader/order.go
@@ -31,11 +31,11 @@
 	}
 	// Estimates may be far too low; what the queue's runs took says more.
 	scale := 1.0
-	if c, m := j.Chain(), t.learnt[j.Queue]; c > 0 {
-		scale = max(scale, float64(m)*float64(len(j.Steps))/float64(c))
+	if m := t.learnt[j.Queue]; j.chain > 0 {
+		scale = max(scale, float64(m)*float64(len(j.Steps))/float64(j.chain))
 	}
-	left := time.Duration(scale * float64(j.ChainFrom(step)))
-	aim := time.Duration(q.Slack*scale*float64(j.Chain())) + q.Target
+	left := time.Duration(scale * float64(j.chains[step]))
+	aim := objective(scale*float64(j.chain), q)
 	return alloc.Order{
 		Claim:      j.claim,
 		Class:      q.Priority,
@@ -44,9 +44,10 @@
 	}
 }
 
-// objective is how long a job may take to be in time, by its estimates.
-func objective(j *graph.Job, q *policy.Queue) time.Duration {
-	return time.Duration(q.Slack*float64(j.Chain())) + q.Target
+// objective is how long a job with a chain of work, in nanoseconds, may take to be in
+// time.
+func objective(chain float64, q *policy.Queue) time.Duration {
+	return time.Duration(q.Slack*chain) + q.Target
 }
 
 // slackMargin is kept of an urgent job's slack for what comes after the start.
@@ -55,7 +56,7 @@
 // slack returns how long an urgent job can still wait for its start without
 // being late. What ends as soon as a stop would take need never be stopped.
 func (t *term) slack(j *job, q *policy.Queue, now time.Time) time.Duration {
-	chain := j.Chain()
+	chain := j.chain
 	if m := t.learnt[j.Queue]; m > 0 {
 		chain = min(chain, m*time.Duration(len(j.Steps)))
 	}
@@ -225,8 +226,6 @@
 		g.known[k] = n
 		q := g.term.queue(j)
 		g.list = append(g.list, alloc.Group{
-			Job:      j.ID,
-			Key:      k,
 			Parts:    map[int]graph.Size{},
 			Urgent:   q != nil && q.Priority == 0,
 			Borrowed: !j.claim,
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -73,7 +73,6 @@
 		}
 		w = append(w, alloc.Worker{
 			ID:      m.addr,
-			Domain:  f.Zone,
 			Rack:    f.Rack,
 			Service: f.Service,
 			Labels:  f.Labels,
--- a/leader/term.go
+++ b/leader/term.go
@@ -31,6 +31,10 @@
 type job struct {
 	*graph.Job
 	prog *graph.Progress
+	// chains are the job's longest chains of estimates from each step, and chain
+	// is the longest of all.
+	chains []time.Duration
+	chain  time.Duration
 	// firstStart is how long the job waited for its first start here.
 	firstStart time.Duration
 	starts     int
@@ -305,6 +309,8 @@
 	t.jobs[id] = &job{
 		Job:      v,
 		prog:     graph.NewProgress(v),
+		chains:   v.Chains(),
+		chain:    v.Chain(),
 		revision: i.Revision,
 		arrived:  time.Now(),
 		runs:     map[graph.Task]*run{},
--- a/leader/units.go
+++ b/leader/units.go
@@ -92,7 +92,7 @@
 		Slack:   l.term.slack(j, q, l.now),
 		Runs:    l.term.expected(j, s),
 		Idle:    j.idle(l.now),
-		Work:    l.work(j, s, len(tasks)),
+		Work:    l.term.expected(j, s).Seconds() * weight(s.Size) * float64(len(tasks)),
 		Reserve: o.Timeliness == alloc.OnTime,
 		Spread:  l.now.Sub(j.arrived) > time.Duration(spreadWait*float64(s.Estimate)),
 	}
@@ -110,7 +110,7 @@
 	for i := range tasks {
 		v := u
 		v.Tasks = tasks[i : i+1]
-		v.Work = l.work(j, s, 1)
+		v.Work = u.Work / float64(len(tasks))
 		v.Waits = !j.claim && busy+i >= most
 		v.Reserve = u.Reserve && !v.Waits
 		l.list = append(l.list, v)
@@ -125,11 +125,6 @@
 	return now.Sub(j.arrived)
 }
 
-// work returns what tasks of a step do, in core-seconds.
-func (l *lister) work(j *job, s *graph.Step, tasks int) float64 {
-	return l.term.expected(j, s).Seconds() * weight(s.Size) * float64(tasks)
-}
-
 // waiting returns the tasks of a step that may be started, and how many run.
 func (j *job) waiting(occurrence, step int, now time.Time) (tasks []graph.Task, busy int) {
 	for i := range j.Steps[step].Count {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,5 @@
 // Package policy holds the operators' configuration as the daemons use it: the
-// queues with their routes, the services, and the customers with their keys and
-// guarantees.
+// queues with their routes, and the customers with their keys and guarantees.
 //
 // # Usage
 //
@@ -25,35 +24,15 @@
 	// Slack times a job's chain of work, and Target more, is its objective.
 	Slack  float64
 	Target time.Duration
-	// Timeout bounds a caller's request.
-	Timeout time.Duration
-	Public  bool
+	Public bool
 	// Advised queues may use only workers that the adviser approves.
 	Advised bool
-	Advice  Advice
-}
-
-// Advice is how an adviser answers: after Decide and Each for each worker named,
-// and for Valid.
-type Advice struct {
-	Decide time.Duration
-	Each   time.Duration
-	Valid  time.Duration
-}
-
-// Service is a pool of workers.
-type Service struct {
-	Name string
-	// Guarded workers refuse what exceeds their capacity.
-	Guarded bool
-	Standby bool
 }
 
 // Customer owns jobs, and may have accelerators guaranteed.
 type Customer struct {
 	Name       string
 	Keys       []string
-	Priority   int
 	Guaranteed int
 }
 
@@ -62,7 +41,6 @@
 	Version   int64
 	Revision  uint64
 	Queues    []Queue
-	Services  []Service
 	Customers []Customer
 	// MaxBody bounds the body of a request, in bytes.
 	MaxBody int64
--- a/refuse/refuse.go
+++ b/refuse/refuse.go
@@ -14,6 +14,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -52,8 +54,8 @@
 // Error implements error.
 func (p *Problem) Error() string { return p.Title + ": " + p.Detail }
 
-// New makes a refusal of a kind; kinds are names such as "no_slot".
-func New(status int, kind, detail, outcome string) *Problem {
+// problem makes a refusal of a kind; kinds are names such as "no_slot".
+func problem(status int, kind, detail, outcome string) *Problem {
 	return &Problem{
 		Type:    "urn:hemlockhinge:problem:" + kind,
 		Title:   http.StatusText(status),
@@ -65,12 +67,12 @@
 
 // NotRun makes a refusal of work that did not run.
 func NotRun(status int, kind, detail string) *Problem {
-	return New(status, kind, detail, OutcomeNotRun)
+	return problem(status, kind, detail, OutcomeNotRun)
 }
 
 // Unknown makes a refusal of work that may have run.
 func Unknown(status int, kind, detail string) *Problem {
-	return New(status, kind, detail, OutcomeUnknown)
+	return problem(status, kind, detail, OutcomeUnknown)
 }
 
 // RetryIn suggests when the caller may try again.
@@ -92,6 +94,25 @@
 	_ = json.NewEncoder(w).Encode(p)
 }
 
+// Handler returns an error handler that answers with what of makes of an error.
+func Handler(of func(error) *Problem) echo.HTTPErrorHandler {
+	return func(err error, c echo.Context) {
+		if !c.Response().Committed {
+			of(err).Write(c.Response())
+		}
+	}
+}
+
+// Body reads a request's body of at most so many bytes; what names what it holds in
+// the refusal of a longer one.
+func Body(c echo.Context, most int64, what string) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(c.Request().Body, most+1))
+	if err != nil || int64(len(b)) > most {
+		return nil, NotRun(http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("%s at most %d bytes", what, most))
+	}
+	return b, nil
+}
+
 // Of turns any error into a refusal.
 func Of(err error) *Problem {
 	var p *Problem
--- a/sched/backfill.go
+++ b/sched/backfill.go
@@ -118,9 +118,6 @@
 	}
 	k := s.avoid(j)
 	n := sort.Search(len(p.ending)+1, func(n int) bool {
-		if n > len(p.ending) {
-			return true
-		}
 		_, ok := s.freed(p, n).Place(j.Shape, k)
 		return ok
 	})
