Discard failures of workers that have succeeded since without a nil dereference

Cause: recordSuccess removes a worker's history; a job's failures still name that worker, and discardFailures dereferenced the missing history, also when the failures expire. A scheduler of the product's own path panics by it. Change: a worker without a history is passed over.

--- a/sched/health.go
+++ b/sched/health.go
@@ -81,10 +81,12 @@
 }
 
 // discardFailures removes a job from the histories of the workers on which it
-// failed.
+// failed. A worker that has succeeded since has no history any more.
 func (h *healthTracker) discardFailures(r *jobFailures, job string) {
 	for w := range r.workers {
-		delete(h.workers[w].failedJobs, job)
+		if p := h.workers[w]; p != nil {
+			delete(p.failedJobs, job)
+		}
 	}
 }
 
