Repeat watches that an outage has silenced, and tell the scheduler of cancellations

The entry that wrote a job or a cancellation tells the scheduler the revision; a cancellation takes effect at once, a job only through the watch (its order tells a deposed scheduler), which is repeated if it has not delivered the revision in 100 ms. Ruled out: handing jobs over in the message, since a scheduler that does not know yet that it lost the role would start them. Not done: a bound on the age of the scheduler's view.

--- a/intake/query.go
+++ b/intake/query.go
@@ -18,6 +18,8 @@
 	dialTimeout  = 300 * time.Millisecond
 )
 
+var errNoScheduler = errors.New("no scheduler is known yet")
+
 // schedulerClient queries the scheduler in another process over a single
 // connection, which is dialed on first use and again when the scheduler has
 // moved.
@@ -45,6 +47,9 @@
 // connect returns a connection to the last known scheduler.
 func (q *schedulerClient) connect(c context.Context) (*wire.Peer, error) {
 	_, addr := q.role.Holder()
+	if addr == "" {
+		return nil, errNoScheduler
+	}
 	if p := q.current(addr); p != nil {
 		return p, nil
 	}
@@ -107,6 +112,27 @@
 	return r.Count, nil
 }
 
+// notifyScheduler tells the scheduler of a successful write: of a job, or of the
+// cancellation of cancelledJob. It does not wait for the reply, since the scheduler's
+// watch shows the write too.
+func (d *Intake) notifyScheduler(w *write, cancelledJob string) {
+	if w.revision == 0 {
+		return
+	}
+	m := &wire.InputWritten{
+		Revision:     w.revision,
+		CancelledJob: cancelledJob,
+	}
+	if d.ports.Leader.InputWritten(m) == nil {
+		return
+	}
+	d.scheduler.group.Go(func() {
+		if _, err := call[*wire.Ack](context.Background(), &d.scheduler, m); err != nil {
+			d.ports.Log.WithError(err).WithField("key", w.key).Info("scheduler_not_notified")
+		}
+	})
+}
+
 // queryState returns the state of a job and its queue. It asks the scheduler, and
 // reads the store when the scheduler does not know the job or cannot be reached.
 // The state of a job that does not exist is empty.
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -65,6 +65,7 @@
 		createOnly: true,
 	}
 	err = d.write(c, &w)
+	d.notifyScheduler(&w, "")
 	d.ports.Log.WithFields(logrus.Fields{
 		"job":      j.ID,
 		"queue":    j.Queue,
@@ -99,6 +100,7 @@
 		value:    []byte(t.Customer),
 	}
 	err := d.write(c, &w)
+	d.notifyScheduler(&w, t.JobID)
 	d.ports.Log.WithFields(logrus.Fields{
 		"job":     t.JobID,
 		"state":   s,
@@ -138,6 +140,8 @@
 
 	tries int
 	took  time.Duration
+	// revision is that of the successful write, 0 if there was none.
+	revision uint64
 	// mayHaveCommitted means that an earlier try got no answer and may still take
 	// effect.
 	mayHaveCommitted bool
@@ -204,11 +208,12 @@
 		x.If = append(x.If, store.Precondition{Key: w.key})
 	}
 	sentAt := time.Now()
-	_, err := d.ports.Store.Commit(c, x)
+	rev, err := d.ports.Store.Commit(c, x)
 	var f *store.TxnConflictError
 	var u *store.UnavailableError
 	switch {
 	case err == nil:
+		w.revision = rev
 		d.markConfirmed(sentAt)
 		return true, nil
 	case errors.As(err, &f):
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -233,7 +233,18 @@
 	return t.pending(queue), nil
 }
 
-// Handle implements wire.Handler for queries from other entries.
+// InputWritten tells the scheduler in this process that an entry has written a job or a
+// cancellation. It returns *NotLeaderError if this process does not hold the role.
+func (l *Leader) InputWritten(v *wire.InputWritten) error {
+	t, err := l.currentTerm()
+	if err != nil {
+		return err
+	}
+	t.inputWritten(v)
+	return nil
+}
+
+// Handle implements wire.Handler for calls from other entries.
 func (l *Leader) Handle(_ context.Context, _ *wire.Peer, m wire.Message) (wire.Message, error) {
 	switch v := m.(type) {
 	case *wire.GetJobState:
@@ -253,6 +264,11 @@
 		return &wire.PendingCount{
 			Count: n,
 		}, nil
+	case *wire.InputWritten:
+		if err := l.InputWritten(v); err != nil {
+			return nil, wire.Refuse(wire.CodeClaimMoved, "%v", err)
+		}
+		return nil, nil
 	}
 	return nil, wire.Refuse(wire.CodeUnknown, "scheduler does not handle messages of kind %d", m.Kind())
 }
--- a/leader/term.go
+++ b/leader/term.go
@@ -13,6 +13,7 @@
 	"hemlockhinge/mirror"
 	"hemlockhinge/pause"
 	"hemlockhinge/store"
+	"hemlockhinge/wire"
 )
 
 // Intervals and time limits of a term.
@@ -132,10 +133,12 @@
 	approvals   advice.Cache
 	ctx         context.Context //nolint:containedctx // ends with the term
 	goroutines  sync.WaitGroup
+	// inputs follows the jobs, the cancellations and the agents in the store.
+	inputs mirror.Mirror
 }
 
 func newTerm(l *Leader, g leadership) *term {
-	return &term{
+	t := &term{
 		leader:        l,
 		leadership:    g,
 		log:           l.ports.Log.WithField("epoch", g.epoch),
@@ -148,6 +151,15 @@
 		meanRunTime:   map[string]time.Duration{},
 		agents:        map[string]*agentState{},
 	}
+	t.inputs = mirror.Mirror{
+		Store:            l.ports.Store,
+		Prefix:           inputsPrefix,
+		Apply:            t.apply,
+		OnListingRead:    t.checkRole,
+		OnListingApplied: t.markListed,
+		Log:              t.log,
+	}
+	return t
 }
 
 // run schedules until c ends; cancel ends c.
@@ -156,15 +168,7 @@
 	t.ctx = c
 	t.cancel = cancel
 	t.mu.Unlock()
-	m := mirror.Mirror{
-		Store:            t.leader.ports.Store,
-		Prefix:           inputsPrefix,
-		Apply:            t.apply,
-		OnListingRead:    t.checkRole,
-		OnListingApplied: t.markListed,
-		Log:              t.log,
-	}
-	t.goroutines.Go(func() { m.Run(c) })
+	t.goroutines.Go(func() { t.inputs.Run(c) })
 	t.goroutines.Go(func() { t.flushLoop(c) })
 	t.goroutines.Go(func() { t.expireLoop(c) })
 	t.passLoop(c)
@@ -339,6 +343,11 @@
 		delete(t.cancellations, id)
 		return
 	}
+	t.cancelJob(id)
+}
+
+// cancelJob marks a job as cancelled, also if it is not loaded yet.
+func (t *term) cancelJob(id string) {
 	t.cancellations[id] = true
 	j := t.jobs[id]
 	if j == nil || j.cancelled {
@@ -348,6 +357,19 @@
 	t.log.WithFields(logrus.Fields{"job": id, "runs": len(j.runs)}).Info("job_cancelled")
 }
 
+// inputWritten is called when an entry has written an input. A cancellation takes effect
+// at once. A job must come through the watch: only the order of the store's changes shows
+// that it was accepted before the role was lost.
+func (t *term) inputWritten(v *wire.InputWritten) {
+	if v.CancelledJob != "" {
+		t.mu.Lock()
+		t.cancelJob(v.CancelledJob)
+		t.mu.Unlock()
+		t.requestPass()
+	}
+	t.inputs.Expect(v.Revision)
+}
+
 func (t *term) passLoop(c context.Context) {
 	k := time.NewTicker(passInterval)
 	defer k.Stop()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,6 +28,9 @@
 	maxBackoff = 500 * time.Millisecond
 )
 
+// deliveryDelay is how long a watch normally takes at most to deliver a change.
+const deliveryDelay = 100 * time.Millisecond
+
 // Mirror follows the keys below Prefix.
 type Mirror struct {
 	Store  store.Port
@@ -42,11 +46,16 @@
 
 	// revisions holds the last applied revision of each existing key.
 	revisions map[string]uint64
-	// revision is the revision after which the watch continues.
-	revision uint64
-	backoff  time.Duration
+	backoff   time.Duration
 	// failing is set from the first failed call until one succeeds.
 	failing bool
+
+	mu sync.Mutex
+	// revision is the revision after which the watch continues.
+	revision uint64
+	// repeatWatch ends the pending watch, so that it is begun again; nil if there is
+	// none.
+	repeatWatch context.CancelFunc
 }
 
 // Run lists and watches until c is done.
@@ -61,21 +70,56 @@
 	}
 }
 
+// Expect tells the mirror that a key below Prefix was changed at a revision. If the
+// pending watch does not deliver the change, it is repeated: its connection may have gone
+// silent.
+func (m *Mirror) Expect(revision uint64) {
+	time.AfterFunc(deliveryDelay, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.revision < revision && m.repeatWatch != nil {
+			m.repeatWatch()
+		}
+	})
+}
+
+// beginWatch returns the revision after which to watch, and a context that Expect may
+// end.
+func (m *Mirror) beginWatch(c context.Context) (context.Context, context.CancelFunc, uint64) {
+	w, cancel := context.WithCancel(c)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.repeatWatch = cancel
+	return w, cancel, m.revision
+}
+
+// setRevision records up to which revision all changes are applied.
+func (m *Mirror) setRevision(v uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision = v
+}
+
 // watchOnce waits for the next changes and applies them.
 func (m *Mirror) watchOnce(c context.Context) error {
-	p, err := m.Store.Watch(c, m.Prefix, m.revision)
+	w, cancel, after := m.beginWatch(c)
+	defer cancel()
+	p, err := m.Store.Watch(w, m.Prefix, after)
 	var compacted *store.CompactedError
-	if errors.As(err, &compacted) {
-		m.Log.WithField("prefix", m.Prefix).WithField("revision", m.revision).Info("watch_compacted")
+	switch {
+	case errors.As(err, &compacted):
+		m.Log.WithField("prefix", m.Prefix).WithField("revision", after).Info("watch_compacted")
 		return m.Relist(c)
-	}
-	if err != nil {
+	case err != nil && w.Err() != nil && c.Err() == nil:
+		m.Log.WithField("prefix", m.Prefix).WithField("revision", after).Info("watch_repeated")
+		return nil
+	case err != nil:
 		return err
 	}
 	for _, i := range p.Items {
 		m.applyNew(i)
 	}
-	m.revision = max(m.revision, p.Revision)
+	m.setRevision(max(after, p.Revision))
 	return nil
 }
 
@@ -102,7 +146,7 @@
 			})
 		}
 	}
-	m.revision = revision
+	m.setRevision(revision)
 	if m.OnListingApplied != nil {
 		m.OnListingApplied()
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -20,6 +21,8 @@
 	store.Port
 	lists   []store.Page
 	watches []func() (store.Page, error)
+	// watchContext is that of the last watch.
+	watchContext context.Context //nolint:containedctx // for the scripts of watches
 }
 
 func (s *scriptedStore) List(context.Context, string, string) (store.Page, error) {
@@ -31,6 +34,7 @@
 }
 
 func (s *scriptedStore) Watch(c context.Context, _ string, _ uint64) (store.Page, error) {
+	s.watchContext = c
 	if len(s.watches) == 0 {
 		<-c.Done()
 		return store.Page{}, c.Err()
@@ -92,16 +96,20 @@
 	}
 }
 
+func discardingLog() *logrus.Entry {
+	g := logrus.New()
+	g.SetOutput(io.Discard)
+	return logrus.NewEntry(g)
+}
+
 // assertSeen runs a mirror of the store and compares the changes that it reports.
 func assertSeen(t *testing.T, s *scriptedStore, want string) {
 	t.Helper()
-	g := logrus.New()
-	g.SetOutput(io.Discard)
 	var seen []string
 	m := mirror.Mirror{
 		Store:  s,
 		Prefix: "",
-		Log:    logrus.NewEntry(g),
+		Log:    discardingLog(),
 		Apply: func(i store.Item) {
 			if i.Deleted {
 				seen = append(seen, "-"+i.Key)
@@ -118,3 +126,48 @@
 		t.Errorf("seen %q, want %q", got, want)
 	}
 }
+
+// TestExpect guards against a change that a silent watch withholds until its timeout: a
+// mirror that is told of the change repeats the watch, unless it has the change already.
+func TestExpect(t *testing.T) {
+	cases := []struct {
+		name     string
+		revision uint64
+		want     string
+	}{
+		{"newer revision", 5, "a1 listed a5"},
+		{"known revision", 1, "a1 listed"},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var got []string
+				c, cancel := context.WithCancel(context.Background())
+				s := &scriptedStore{
+					lists: []store.Page{page(1, put("a", 1))},
+				}
+				silent := func() (store.Page, error) {
+					s.watches = []func() (store.Page, error){answer(page(5, put("a", 5)), nil)}
+					<-s.watchContext.Done()
+					return store.Page{}, s.watchContext.Err()
+				}
+				s.watches = []func() (store.Page, error){silent}
+				m := mirror.Mirror{
+					Store:            s,
+					Apply:            func(i store.Item) { got = append(got, fmt.Sprintf("%s%d", i.Key, i.Revision)) },
+					OnListingApplied: func() { got = append(got, "listed") },
+					Log:              discardingLog(),
+				}
+				go m.Run(c)
+				synctest.Wait()
+				m.Expect(v.revision)
+				time.Sleep(time.Second)
+				if w := strings.Join(got, " "); w != v.want {
+					t.Errorf("applied %q, not %q", w, v.want)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -154,3 +154,12 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	Count    int
 }
+
+// InputWritten tells the scheduler that an entry has written a job, or the cancellation of
+// CancelledJob, at a revision of the store. The scheduler's watch normally shows the write
+// first. The reply is an Ack.
+type InputWritten struct {
+	_msgpack     struct{} `msgpack:",as_array"`
+	Revision     uint64
+	CancelledJob string
+}
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -57,6 +57,7 @@
 	KindStoreGet
 	KindStoreCommit
 	KindStoreAnswer
+	KindInputWritten
 )
 
 // constructors returns an empty message to decode into, by kind.
@@ -107,6 +108,7 @@
 	KindStoreGet:          func() Message { return &StoreGet{} },
 	KindStoreCommit:       func() Message { return &StoreCommit{} },
 	KindStoreAnswer:       func() Message { return &StoreAnswer{} },
+	KindInputWritten:      func() Message { return &InputWritten{} },
 }
 
 // Message is the body of a frame. Every message type reports its own kind.
@@ -251,3 +253,6 @@
 
 // Kind implements Message.
 func (*StoreAnswer) Kind() Kind { return KindStoreAnswer }
+
+// Kind implements Message.
+func (*InputWritten) Kind() Kind { return KindInputWritten }
