Give a run up only on a report that can prove it

The start was carried out, and the task started elsewhere too (TWICE). Change: a run without a reply is over only if a report of a later session, or one made after the agent's limit for the age of a request, does not list it; reports of earlier sessions are dropped. Leases count as expired from the last reading of the agent's clock that the scheduler took over, also from reports. Ruled out: dropping stale reports alone, since the calls of a session fail before its end is noticed.

--- a/leader/agent.go
+++ b/leader/agent.go
@@ -40,7 +40,10 @@
 	// only once.
 	lossLogged bool
 
-	peer      *wire.Peer
+	peer *wire.Peer
+	// session is the number of the newest session, and reportSeq that of the newest
+	// report in it.
+	session   uint64
 	reportSeq uint64
 	worker    wire.WorkerInfo
 	// accountedFor is false until all that may run at the worker is known in this
@@ -77,6 +80,17 @@
 	stopSentAt time.Time
 }
 
+func newAgentState(addr string, cancel context.CancelFunc) *agentState {
+	return &agentState{
+		addr:        addr,
+		cancel:      cancel,
+		redial:      make(chan struct{}, 1),
+		lastContact: time.Now(),
+		runs:        map[graph.Task]*run{},
+		unexpected:  map[graph.Task]unexpectedRun{},
+	}
+}
+
 // applyAgent applies a change of an agent's registration; t.mu is held.
 func (t *term) applyAgent(addr string, i store.Item) {
 	m := t.agents[addr]
@@ -95,14 +109,7 @@
 		return
 	}
 	c, cancel := context.WithCancel(t.ctx)
-	m = &agentState{
-		addr:        addr,
-		cancel:      cancel,
-		redial:      make(chan struct{}, 1),
-		lastContact: time.Now(),
-		runs:        map[graph.Task]*run{},
-		unexpected:  map[graph.Task]unexpectedRun{},
-	}
+	m = newAgentState(addr, cancel)
 	t.agents[addr] = m
 	t.goroutines.Go(func() { t.maintainSession(c, m) })
 }
@@ -137,20 +144,21 @@
 	if err != nil {
 		return err
 	}
+	o := t.startSessionMessage()
 	p := wire.NewPeer(n, wire.HandlerFunc(func(_ context.Context, _ *wire.Peer, v wire.Message) (wire.Message, error) {
 		if s, ok := v.(*wire.AgentStatus); ok {
-			t.applyReport(m, s, false)
+			t.applyReport(m, o.Session, s, false)
 		}
 		return nil, nil
 	}))
 	t.goroutines.Go(func() { _ = p.Run(c) })
 	defer p.Close()
-	s, err := wire.CallFor[*wire.AgentStatus](c, p, t.startSessionMessage(), sessionOpenTimeout)
+	s, err := wire.CallFor[*wire.AgentStatus](c, p, o, sessionOpenTimeout)
 	if err != nil {
 		t.endIfSuperseded(err)
 		return err
 	}
-	t.sessionOpened(m, p, s)
+	t.sessionOpened(m, p, o.Session, s)
 	defer t.sessionClosed(m, p)
 	return t.pingLoop(c, m, p)
 }
@@ -178,10 +186,11 @@
 
 // sessionOpened resets what belongs to the previous session and applies the first
 // status report.
-func (t *term) sessionOpened(m *agentState, p *wire.Peer, s *wire.AgentStatus) {
+func (t *term) sessionOpened(m *agentState, p *wire.Peer, session uint64, s *wire.AgentStatus) {
 	m.lossLogged = false
 	t.mu.Lock()
 	m.peer = p
+	m.session = session
 	m.reportSeq = 0
 	m.lastAcknowledgedEnd = 0
 	m.lastContact = time.Now()
@@ -195,7 +204,7 @@
 	}
 	t.mu.Unlock()
 	t.log.WithFields(logrus.Fields{"agent": m.addr, "node": s.Node, "worker": s.Worker.ID, "runs": len(s.Runs), "ends": len(s.Ends)}).Info("agent_connected")
-	t.applyReport(m, s, true)
+	t.applyReport(m, session, s, true)
 }
 
 func (t *term) sessionClosed(m *agentState, p *wire.Peer) {
@@ -239,15 +248,21 @@
 }
 
 // applyReport applies a status report of an agent, unless it is older than the last
-// one. The report that opens a session is always the newest.
-func (t *term) applyReport(m *agentState, s *wire.AgentStatus, opening bool) {
+// one. The report that opens a session is always the newest. A report of an earlier
+// session may have waited to be handled for long, and is dropped.
+func (t *term) applyReport(m *agentState, session uint64, s *wire.AgentStatus, opening bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s.Seq < m.reportSeq || (s.Seq == m.reportSeq && !opening) {
+	if session != m.session || s.Seq < m.reportSeq || (s.Seq == m.reportSeq && !opening) {
 		return
 	}
 	m.reportSeq = s.Seq
-	m.agentClockMS = max(m.agentClockMS, s.AgentMS)
+	if s.AgentMS > m.agentClockMS {
+		// From now on messages to the agent carry this reading, by which it may renew
+		// its worker's leases.
+		m.agentClockMS = s.AgentMS
+		m.lastContact = time.Now()
+	}
 	t.applyWorkerInfo(m, s)
 	if s.Worker.Known {
 		for _, e := range s.Ends {
@@ -264,7 +279,7 @@
 	m.acceptsTasks = s.Settled && !s.Vacant
 	if s.Vacant || (s.Settled && s.Worker.Known) {
 		m.accountedFor = true
-		t.removeUnlistedRuns(m, s.Seq, listed)
+		t.removeUnlistedRuns(m, s, listed)
 	}
 	m.acknowledgeEnds()
 	t.requestPass()
@@ -273,19 +288,30 @@
 // removeUnlistedRuns removes the runs that an agent's report does not list. The report
 // must be conclusive: either no earlier order of the agent can take effect any more and
 // the agent knows what its worker runs, or all leases of its worker have expired.
-func (t *term) removeUnlistedRuns(m *agentState, seq uint64, listed map[graph.Task]bool) {
+func (t *term) removeUnlistedRuns(m *agentState, s *wire.AgentStatus, listed map[graph.Task]bool) {
 	for k := range m.unexpected {
 		if !listed[k] {
 			delete(m.unexpected, k)
 		}
 	}
 	for k, r := range m.runs {
-		if !listed[k] && (r.startUnconfirmed || (r.phase == running && seq >= r.listedFromSeq)) {
+		if !listed[k] && r.mustBeListed(m.session, s) {
 			t.removeLostRun(m, r)
 		}
 	}
 }
 
+// mustBeListed reports whether a conclusive report of a session lists the run if the
+// run exists. A start without a reply may still be on its way to the agent or wait there:
+// it can take effect no more in a later session, or once the agent considers the request
+// expired.
+func (r *run) mustBeListed(session uint64, s *wire.AgentStatus) bool {
+	if r.startUnconfirmed {
+		return session > r.session || s.AgentMS-r.requestClockMS > wire.MaxLaunchAge.Milliseconds()
+	}
+	return r.phase == running && s.Seq >= r.listedFromSeq
+}
+
 // applyWorkerInfo applies what an agent reports of its worker, and resets the ends
 // and failures when the worker has restarted.
 func (t *term) applyWorkerInfo(m *agentState, s *wire.AgentStatus) {
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -172,6 +172,8 @@
 		LastAgentMS: r.agent.agentClockMS,
 	}
 	p := r.agent.peer
+	r.session = r.agent.session
+	r.requestClockMS = m.LastAgentMS
 	if j.startCount == 0 {
 		j.firstStartDelay = time.Since(j.arrivedAt)
 	}
@@ -209,7 +211,11 @@
 	switch {
 	case err == nil:
 		r.phase = running
-		r.listedFromSeq = v.Seq
+		if r.session == r.agent.session {
+			// Reports of another session may come from a restarted agent, which
+			// counts anew.
+			r.listedFromSeq = v.Seq
+		}
 		r.startUnconfirmed = false
 		j.markStarted()
 	case errors.As(err, &f):
--- /dev/null
+++ b/leader/report_test.go
@@ -0,0 +1,198 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"hemlockhinge/graph"
+	"hemlockhinge/meter"
+	"hemlockhinge/wire"
+)
+
+const (
+	testEpoch            = 100
+	testSilenceTolerance = 8 * time.Second
+)
+
+// newTestTerm returns a term without a store or a network.
+func newTestTerm() *term {
+	g := logrus.New()
+	g.SetOutput(io.Discard)
+	l := New(Ports{
+		Log:   logrus.NewEntry(g),
+		Meter: meter.New(prometheus.NewRegistry()),
+	}, Settings{
+		SilenceTolerance: testSilenceTolerance,
+	})
+	t := newTerm(l, leadership{
+		epoch: testEpoch,
+	})
+	t.ctx = context.Background()
+	return t
+}
+
+// reportTest is a run whose start was requested in session 1 of an agent.
+type reportTest struct {
+	term  *term
+	agent *agentState
+	job   *job
+	run   *run
+}
+
+var testTask = graph.Task{Job: "j"}
+
+func newReportTest() *reportTest {
+	t := newTestTerm()
+	j := newJob(&graph.Job{
+		ID:    testTask.Job,
+		Steps: []graph.Step{{Count: 1}},
+	}, testEpoch+1)
+	t.jobs[j.ID] = j
+	m := newAgentState("a", func() {})
+	t.agents[m.addr] = m
+	v := &reportTest{
+		term:  t,
+		agent: m,
+		job:   j,
+	}
+	v.open(1, v.report(1, 1000))
+	v.run = &run{
+		task:           testTask,
+		attempt:        1,
+		agent:          m,
+		session:        m.session,
+		requestClockMS: m.agentClockMS,
+		startedAt:      time.Now(),
+	}
+	j.runs[testTask] = v.run
+	m.runs[testTask] = v.run
+	return v
+}
+
+// report returns a conclusive report, in which the runs are those of the task.
+func (v *reportTest) report(seq uint64, agentMS int64, runs ...wire.RunState) *wire.AgentStatus {
+	return &wire.AgentStatus{
+		Seq:     seq,
+		AgentMS: agentMS,
+		Settled: true,
+		Worker: wire.WorkerInfo{
+			Known: true,
+			ID:    "w",
+			Born:  1,
+		},
+		Runs: runs,
+	}
+}
+
+func (v *reportTest) open(session uint64, s *wire.AgentStatus) {
+	v.term.sessionOpened(v.agent, &wire.Peer{}, session, s)
+}
+
+// loseReply ends the request without a reply, as the loss of its session does.
+func (v *reportTest) loseReply() {
+	v.term.handleLaunchReply(v.job, v.run, nil, errors.New("connection closed"))
+}
+
+func (v *reportTest) confirm(seq uint64) {
+	v.term.handleLaunchReply(v.job, v.run, &wire.Launched{Seq: seq}, nil)
+}
+
+// TestRunKeptWithoutConclusiveReport guards against two runs of one task: a scheduler
+// that is late in handling messages takes a report that was made before a start for proof
+// that the start did not take effect, and starts the task elsewhere.
+func TestRunKeptWithoutConclusiveReport(t *testing.T) {
+	listed := wire.RunState{Task: testTask.String(), Attempt: 1}
+	expired := 1000 + wire.MaxLaunchAge.Milliseconds() + 1
+	cases := []struct {
+		name string
+		do   func(v *reportTest)
+		kept bool
+	}{
+		{"report of the session after the reply was lost", func(v *reportTest) {
+			v.loseReply()
+			v.term.applyReport(v.agent, 1, v.report(2, 1100), false)
+		}, true},
+		{"that report after the session has closed", func(v *reportTest) {
+			v.loseReply()
+			v.term.sessionClosed(v.agent, v.agent.peer)
+			v.term.applyReport(v.agent, 1, v.report(2, 1100), false)
+		}, true},
+		{"that report after the next session lists the run", func(v *reportTest) {
+			v.loseReply()
+			v.open(2, v.report(3, 1200, listed))
+			v.term.applyReport(v.agent, 1, v.report(9, 1100), false)
+		}, true},
+		{"that report while the next session is not settled", func(v *reportTest) {
+			v.loseReply()
+			s := v.report(3, 1200)
+			s.Settled = false
+			v.open(2, s)
+			v.term.applyReport(v.agent, 1, v.report(9, 1100), false)
+		}, true},
+		{"reply of the session after the next one lists the run", func(v *reportTest) {
+			v.open(2, v.report(3, 1200, listed))
+			v.confirm(2)
+		}, true},
+		{"report of the session while the reply is awaited", func(v *reportTest) {
+			v.term.applyReport(v.agent, 1, v.report(2, expired), false)
+		}, true},
+		{"report before the one that must list it", func(v *reportTest) {
+			v.confirm(5)
+			v.term.applyReport(v.agent, 1, v.report(4, 1100), false)
+		}, true},
+		{"report that must list it", func(v *reportTest) {
+			v.confirm(5)
+			v.term.applyReport(v.agent, 1, v.report(5, 1100), false)
+		}, false},
+		{"next session does not list the run", func(v *reportTest) {
+			v.loseReply()
+			v.open(2, v.report(3, 1200))
+		}, false},
+		{"next session of a restarted agent does not list the run", func(v *reportTest) {
+			v.confirm(50)
+			v.open(2, v.report(1, 10))
+		}, false},
+		{"report of the session once the request has expired", func(v *reportTest) {
+			v.loseReply()
+			v.term.applyReport(v.agent, 1, v.report(2, expired), false)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := newReportTest()
+				c.do(v)
+				if kept := v.job.runs[testTask] == v.run; kept != c.kept {
+					t.Errorf("run kept: %t, want %t", kept, c.kept)
+				}
+			})
+		})
+	}
+}
+
+// TestLeasesCountedFromLastReading guards against leases that are taken for expired too
+// early: an agent renews them by the newest reading of its clock that the scheduler has
+// returned, and reports carry readings as well as the replies to pings.
+func TestLeasesCountedFromLastReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newReportTest()
+		time.Sleep(5 * time.Second)
+		v.term.applyReport(v.agent, 1, v.report(2, 6000), false)
+		v.term.sessionClosed(v.agent, v.agent.peer)
+		time.Sleep(testSilenceTolerance - time.Second)
+		if v.term.workerLeasesExpired(v.agent, time.Now()) {
+			t.Error("leases count as expired although the agent may still renew them")
+		}
+		time.Sleep(2 * time.Second)
+		if !v.term.workerLeasesExpired(v.agent, time.Now()) {
+			t.Error("leases do not count as expired")
+		}
+	})
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -67,6 +67,21 @@
 	startedInTerm map[graph.Task]bool
 }
 
+// newJob returns a job that was just submitted at a revision of the store.
+func newJob(v *graph.Job, revision uint64) *job {
+	return &job{
+		Job:            v,
+		progress:       graph.NewProgress(v),
+		remainingPaths: v.StepCriticalPaths(),
+		criticalPath:   v.CriticalPath(),
+		revision:       revision,
+		arrivedAt:      time.Now(),
+		runs:           map[graph.Task]*run{},
+		publishedState: graph.Queued,
+		retryAfter:     map[graph.Task]time.Time{},
+	}
+}
+
 // schedulable reports whether tasks of the job may still be started.
 func (j *job) schedulable() bool { return !j.cancelled && !j.progress.State.Final() }
 
@@ -87,6 +102,10 @@
 	phase   runPhase
 	// startUnconfirmed means that the reply to the start was lost.
 	startUnconfirmed bool
+	// session is the number of the session in which the start was requested, and
+	// requestClockMS the reading of the agent's clock that the request carried.
+	session        uint64
+	requestClockMS int64
 	// listedFromSeq is the number of the agent's first report that must list the run.
 	listedFromSeq uint64
 	startedAt     time.Time
@@ -322,19 +341,9 @@
 		t.log.WithError(err).WithField("job", id).Error("job_record_invalid")
 		return
 	}
-	t.jobs[id] = &job{
-		Job:            v,
-		progress:       graph.NewProgress(v),
-		remainingPaths: v.StepCriticalPaths(),
-		criticalPath:   v.CriticalPath(),
-		revision:       i.Revision,
-		arrivedAt:      time.Now(),
-		runs:           map[graph.Task]*run{},
-		publishedState: graph.Queued,
-		retryAfter:     map[graph.Task]time.Time{},
-
-		cancelled: t.cancellations[id],
-	}
+	j := newJob(v, i.Revision)
+	j.cancelled = t.cancellations[id]
+	t.jobs[id] = j
 	t.log.WithFields(logrus.Fields{"job": id, "queue": v.Queue, "revision": i.Revision}).Info("job_loaded")
 }
 
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -88,12 +88,6 @@
 	return nil, nil
 }
 
-// maxLaunchAge bounds the age of a launch request, measured from the newest agent
-// clock reading that the scheduler had received when it sent the request. Older
-// requests are refused: the job may have been cancelled in the meantime, or started
-// on another worker after a long loss of contact.
-const maxLaunchAge = 2 * time.Second
-
 // handleLaunch starts a task. A refusal guarantees that the task is not running and
 // will not be started by this request.
 func (r *Runner) handleLaunch(c context.Context, p *wire.Peer, m *wire.Launch) (wire.Message, error) {
@@ -133,7 +127,7 @@
 		return StartOrder{}, err
 	}
 	r.recordContact(m.LastAgentMS)
-	if age := r.clockMS() - m.LastAgentMS; age > maxLaunchAge.Milliseconds() {
+	if age := r.clockMS() - m.LastAgentMS; age > wire.MaxLaunchAge.Milliseconds() {
 		return StartOrder{}, wire.Refuse(wire.CodeExpired, "launch request expired: it is %d ms old", age)
 	}
 	free := r.worker.Capacity.Sub(r.ledger.Used())
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"time"
+
 	"hemlockhinge/graph"
 )
 
@@ -93,6 +95,11 @@
 	AgentMS  int64
 }
 
+// MaxLaunchAge bounds the age of a Launch, which the agent measures by its own clock from
+// LastAgentMS. It refuses older ones: the job may have been cancelled in the meantime, or
+// started on another worker after a long loss of contact.
+const MaxLaunchAge = 2 * time.Second
+
 // Launch asks an agent to start a task; LastAgentMS is as in Ping. The reply is Launched, or
 // a refusal, which guarantees that the task does not run.
 type Launch struct {
