Plan preemptions by worker, and pace scheduling passes by their cost

Change: groups are indexed by worker; options are kept for units that ask for the same; a unit that asks for no less than one without a plan is not planned again. After a pass the scheduler rests three times its duration; a report that changes nothing requests no pass. The process measures how late it handles timers, as a metric and a log event, and allows for that in timeouts towards agents.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -132,6 +132,7 @@
 	}
 	var d Decision
 	var b backfill
+	p := newPreemptor(w, g)
 	lightlyLoaded := lightlyLoadedServices(w)
 	unplaceable := map[requirements]bool{}
 	reserved := map[requirements]bool{}
@@ -142,12 +143,12 @@
 		// cannot be met by a later unit either.
 		z := requirementsOf(v)
 		if !unplaceable[z] {
-			if d.start(w, v) {
+			if d.start(p, v) {
 				continue
 			}
 			unplaceable[z] = v.RunningPerWorker == nil && v.AllowedWorkers == nil
 		}
-		if v.mayPreempt() && d.preempt(w, g, v) {
+		if v.mayPreempt() && d.preempt(p, v) {
 			continue
 		}
 		if v.Reserve && !reserved[z] {
@@ -159,12 +160,13 @@
 }
 
 // start places a unit on free capacity, and reports whether it fits.
-func (d *Decision) start(w []Worker, u *Unit) bool {
-	at, ok := place(w, u)
+func (d *Decision) start(p *preemptor, u *Unit) bool {
+	at, ok := place(p.workers, u)
 	if !ok {
 		return false
 	}
-	allocate(w, u, at)
+	allocate(p.workers, u, at)
+	p.workersChanged(at)
 	d.Start = append(d.Start, Placement{
 		Unit: u,
 		At:   at,
@@ -177,25 +179,35 @@
 // preempt selects groups to stop so that a unit can start, and withholds the
 // capacity that the unit will use. It returns false if no selection makes the unit
 // fit, or if the lost work is out of proportion.
-func (d *Decision) preempt(w []Worker, g []Group, u *Unit) bool {
-	p, ok := planPreemption(w, g, u)
-	if !ok || !u.acceptsCost(p.cost) {
+func (d *Decision) preempt(p *preemptor, u *Unit) bool {
+	if p.knownToFail(u) {
 		return false
 	}
-	for _, k := range p.stop {
-		if g[k].endsWithin(u.Slack) {
+	v, ok := p.plan(u)
+	if !ok || !u.acceptsCost(v.cost) {
+		p.recordFailure(u)
+		return false
+	}
+	for _, k := range v.stop {
+		g := &p.groups[k]
+		if g.endsWithin(u.Slack) {
 			continue
 		}
 		d.Stop = append(d.Stop, Preemption{
 			Group: k,
 			For:   u,
 		})
-		g[k].Stopping = true
-		for n, z := range g[k].Usage {
-			w[n].Releasing = w[n].Releasing.Add(z)
+		g.Stopping = true
+		for n, z := range g.Usage {
+			p.workers[n].Releasing = p.workers[n].Releasing.Add(z)
+			p.changes[n]++
 		}
 	}
-	allocate(w, u, p.at)
+	if len(v.stop) > 0 {
+		clear(p.failed)
+	}
+	allocate(p.workers, u, v.at)
+	p.workersChanged(v.at)
 	return true
 }
 
--- a/leader/agent.go
+++ b/leader/agent.go
@@ -22,6 +22,9 @@
 	pingTimeout        = 800 * time.Millisecond
 	redialDelay        = 150 * time.Millisecond
 	silenceMargin      = 500 * time.Millisecond
+	// maxPingLateness is how long a session lasts without contact while this process is
+	// late.
+	maxPingLateness = 3 * time.Second
 )
 
 // pendingEnd is the reported end of a run that may not be recorded in the store yet.
@@ -138,7 +141,7 @@
 func (t *term) runSession(c context.Context, m *agentState) error {
 	c, cancel := context.WithCancel(c)
 	defer cancel()
-	d, stop := context.WithTimeout(c, dialTimeout)
+	d, stop := context.WithTimeout(c, t.allowingForLag(dialTimeout))
 	n, err := t.leader.ports.Net.Dial(d, m.addr)
 	stop()
 	if err != nil {
@@ -153,7 +156,7 @@
 	}))
 	t.goroutines.Go(func() { _ = p.Run(c) })
 	defer p.Close()
-	s, err := wire.CallFor[*wire.AgentStatus](c, p, o, sessionOpenTimeout)
+	s, err := wire.CallFor[*wire.AgentStatus](c, p, o, t.allowingForLag(sessionOpenTimeout))
 	if err != nil {
 		t.endIfSuperseded(err)
 		return err
@@ -225,6 +228,9 @@
 		}
 		t.mu.Unlock()
 		r, err := wire.CallFor[*wire.Pong](c, p, v, pingTimeout)
+		if err != nil && t.mayBeLate(m, err) {
+			continue
+		}
 		if err != nil {
 			t.endIfSuperseded(err)
 			return err
@@ -239,6 +245,18 @@
 	return c.Err()
 }
 
+// mayBeLate reports whether a ping that failed may have been answered in time, because
+// this process handles messages late. That is no reason to end the session, unless it
+// lasts.
+func (t *term) mayBeLate(m *agentState, err error) bool {
+	if !errors.Is(err, context.DeadlineExceeded) || t.lag() < toleratedLag {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(m.lastContact) < maxPingLateness
+}
+
 // workerLeasesExpired reports whether the tasks of an agent that is out of contact
 // have certainly ended: an agent renews its worker's leases only while it is in
 // contact with a scheduler.
@@ -257,6 +275,7 @@
 		return
 	}
 	m.reportSeq = s.Seq
+	before := m.condition()
 	if s.AgentMS > m.agentClockMS {
 		// From now on messages to the agent carry this reading, by which it may renew
 		// its worker's leases.
@@ -282,7 +301,46 @@
 		t.removeUnlistedRuns(m, s, listed)
 	}
 	m.acknowledgeEnds()
-	t.requestPass()
+	if opening || m.condition() != before {
+		t.requestPass()
+	}
+}
+
+// agentCondition is what a report can change of an agent that matters to a scheduling
+// pass. Passes read the progress of runs at their regular interval.
+type agentCondition struct {
+	accountedFor bool
+	acceptsTasks bool
+	known        bool
+	leaving      bool
+	gone         bool
+	incarnation  int64
+	capacity     graph.Size
+	lastEnd      int64
+	runs         int
+	unconfirmed  int
+	unexpected   int
+}
+
+func (m *agentState) condition() agentCondition {
+	v := agentCondition{
+		accountedFor: m.accountedFor,
+		acceptsTasks: m.acceptsTasks,
+		known:        m.worker.Known,
+		leaving:      m.worker.Leaving,
+		gone:         m.worker.Gone,
+		incarnation:  m.worker.Born,
+		capacity:     m.worker.Capacity,
+		lastEnd:      m.lastEnd,
+		runs:         len(m.runs),
+		unexpected:   len(m.unexpected),
+	}
+	for _, r := range m.runs {
+		if r.phase == launching {
+			v.unconfirmed++
+		}
+	}
+	return v
 }
 
 // removeUnlistedRuns removes the runs that an agent's report does not list. The report
--- a/leader/term.go
+++ b/leader/term.go
@@ -152,6 +152,7 @@
 	approvals   advice.Cache
 	ctx         context.Context //nolint:containedctx // ends with the term
 	goroutines  sync.WaitGroup
+	lateTimers    lagProbe
 	// inputs follows the jobs, the cancellations and the agents in the store.
 	inputs mirror.Mirror
 }
@@ -190,6 +191,7 @@
 	t.goroutines.Go(func() { t.inputs.Run(c) })
 	t.goroutines.Go(func() { t.flushLoop(c) })
 	t.goroutines.Go(func() { t.expireLoop(c) })
+	t.goroutines.Go(func() { t.lateTimers.run(c) })
 	t.passLoop(c)
 	t.goroutines.Wait()
 }
@@ -379,24 +381,6 @@
 	t.inputs.Expect(v.Revision)
 }
 
-func (t *term) passLoop(c context.Context) {
-	k := time.NewTicker(passInterval)
-	defer k.Stop()
-	for {
-		select {
-		case <-c.Done():
-			return
-		case <-t.wake:
-		case <-k.C:
-		}
-		t.mu.Lock()
-		if t.restored && !t.roleLost {
-			t.schedulingPass(time.Now())
-		}
-		t.mu.Unlock()
-	}
-}
-
 // state returns a job's state as callers see it, and its queue.
 func (t *term) state(id string) (graph.State, string) {
 	t.mu.Lock()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -30,6 +30,8 @@
 	workerCallSeconds *prometheus.HistogramVec
 	storeCallSeconds  *prometheus.HistogramVec
 	linesDropped      prometheus.Counter
+	passSeconds       prometheus.Histogram
+	lagSeconds        prometheus.Histogram
 }
 
 // New registers a daemon's metrics.
@@ -50,13 +52,15 @@
 			Name:      "evictions_total",
 			Help:      "Runs stopped for more urgent ones.",
 		}),
+		passSeconds: plainHistogram("pass_seconds", "Time of scheduling passes, with the wait for the scheduler's lock."),
+		lagSeconds:  plainHistogram("scheduler_lag_seconds", "How late the scheduler's process handles timers."),
 		linesDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "log_lines_dropped_total",
 			Help:      "Log lines beyond the budget.",
 		}),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds)
 	return m
 }
 
@@ -69,6 +73,15 @@
 	}, labels)
 }
 
+func plainHistogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+		Buckets:   buckets,
+	})
+}
+
 // Submitted records the answer to a caller's request to submit or cancel a job.
 func (m *Meter) Submitted(outcome string, d time.Duration) {
 	if m != nil {
@@ -112,6 +125,14 @@
 	}
 }
 
+// Pass records the time of a scheduling pass and how late its process handles timers.
+func (m *Meter) Pass(d, lag time.Duration) {
+	if m != nil {
+		m.passSeconds.Observe(d.Seconds())
+		m.lagSeconds.Observe(lag.Seconds())
+	}
+}
+
 // LinesDropped counts dropped log lines.
 func (m *Meter) LinesDropped(n int) {
 	if m != nil {
