Prefer entries with more processor capacity for the scheduler's role

Change: entries register their capacity; one that knows a fitter one leaves a free role to it for 300 ms. Ruled out: an absolute reference (a delay by own capacity alone), which delays every takeover on sites of small machines.

--- a/leader/election.go
+++ b/leader/election.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,6 +20,10 @@
 	roleTTL            = 1500 * time.Millisecond
 	roleRenewInterval  = 400 * time.Millisecond
 	campaignRetryDelay = 100 * time.Millisecond
+	// precedenceDelay is how long a candidate leaves a free role to those with more
+	// processor capacity, and precedenceJitter spreads candidates with equal capacity.
+	precedenceDelay  = 300 * time.Millisecond
+	precedenceJitter = 40 * time.Millisecond
 )
 
 // Role is the election of the scheduler as one process sees it: it campaigns for the
@@ -27,6 +32,8 @@
 	store store.Committer
 	log   *logrus.Entry
 	self  holder
+	// fitter returns how many other candidates have more processor capacity.
+	fitter func() int
 
 	mu       sync.Mutex
 	holder   holder
@@ -68,6 +75,10 @@
 func (r *Role) tryAcquire(c context.Context) (leadership, bool, error) {
 	i, err := r.store.Get(c, roleKey)
 	var notFound *store.NotFoundError
+	if errors.As(err, &notFound) {
+		pause.For(c, r.precedence())
+		i, err = r.store.Get(c, roleKey)
+	}
 	switch {
 	case errors.As(err, &notFound):
 		return r.acquire(c)
@@ -84,6 +95,16 @@
 	return leadership{}, false, err
 }
 
+// precedence returns how long to leave a free role to other candidates. Scheduling costs
+// more the more workers there are, and entries may differ much in capacity.
+func (r *Role) precedence() time.Duration {
+	d := time.Duration(mathrand.Int64N(int64(precedenceJitter)))
+	if r.fitter() > 0 {
+		d += precedenceDelay
+	}
+	return d
+}
+
 // observe records the holder of the role.
 func (r *Role) observe(i store.Item) {
 	var h holder
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -27,6 +27,7 @@
 
 	"hemlockhinge/graph"
 	"hemlockhinge/meter"
+	"hemlockhinge/pause"
 	"hemlockhinge/policy"
 	"hemlockhinge/store"
 	"hemlockhinge/wire"
@@ -41,6 +42,9 @@
 	Log       *logrus.Entry
 	Meter     *meter.Meter
 	WallClock func() time.Time
+	// FitterCandidates returns how many other candidates for the role have more
+	// processor capacity; nil if none has.
+	FitterCandidates func() int
 }
 
 // Settings configure a scheduler.
@@ -58,6 +62,8 @@
 	ReclaimTimeout time.Duration
 	// JobRetention is the minimum time for which an ended job stays visible.
 	JobRetention time.Duration
+	// CampaignDelay is how long after Run is called the first campaign begins.
+	CampaignDelay time.Duration
 }
 
 // OperatorSettings are the settings that operators change at run time: the configuration,
@@ -99,13 +105,17 @@
 	if p.WallClock == nil {
 		p.WallClock = time.Now
 	}
+	if p.FitterCandidates == nil {
+		p.FitterCandidates = func() int { return 0 }
+	}
 	return &Leader{
 		ports:    p,
 		settings: s,
 		resigned: make(chan struct{}),
 		role: &Role{
-			store: p.Store,
-			log:   p.Log,
+			store:  p.Store,
+			log:    p.Log,
+			fitter: p.FitterCandidates,
 			self: holder{
 				ID:   s.ID,
 				Addr: s.Addr,
@@ -151,6 +161,7 @@
 		case <-c.Done():
 		}
 	}()
+	pause.For(c, l.settings.CampaignDelay)
 	for c.Err() == nil {
 		g, err := l.role.campaign(c)
 		if err != nil {
--- a/leader/term.go
+++ b/leader/term.go
@@ -152,7 +152,7 @@
 	approvals   advice.Cache
 	ctx         context.Context //nolint:containedctx // ends with the term
 	goroutines  sync.WaitGroup
-	lateTimers    lagProbe
+	lateTimers  lagProbe
 	// inputs follows the jobs, the cancellations and the agents in the store.
 	inputs mirror.Mirror
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -57,6 +58,8 @@
 	selfAddr string
 	// peerAddrs are the other entries' addresses, in the order in which they are tried.
 	peerAddrs []string
+	// peerMilliCPU is the registered processor capacity of the other entries, by address.
+	peerMilliCPU map[string]int
 	// peer is the connection in use, to the entry at peerAddr; nil if there is none.
 	peer     *wire.Peer
 	peerAddr string
@@ -75,13 +78,13 @@
 	}
 }
 
-// Run registers this process's address and keeps the list of the other entries'
+// Run registers this process's address and processor capacity, and keeps the list of the other entries'
 // addresses up to date until c ends.
-func (s *Store) Run(c context.Context, addr string) {
+func (s *Store) Run(c context.Context, addr string, milliCPU int) {
 	s.mu.Lock()
 	s.selfAddr = addr
 	s.mu.Unlock()
-	s.goroutines.Go(func() { s.register(c, addr) })
+	s.goroutines.Go(func() { s.register(c, addr, milliCPU) })
 	m := mirror.Mirror{
 		Store:  s.Committer,
 		Prefix: peersPrefix,
@@ -98,10 +101,10 @@
 }
 
 // register writes this process's registration, and retries until it succeeds or c ends.
-func (s *Store) register(c context.Context, addr string) {
+func (s *Store) register(c context.Context, addr string, milliCPU int) {
 	for {
 		_, err := s.Committer.Commit(c, store.Txn{
-			Put: []store.Write{{Key: peersPrefix + addr, Value: []byte(addr)}},
+			Put: []store.Write{{Key: peersPrefix + addr, Value: []byte(strconv.Itoa(milliCPU))}},
 		})
 		if err == nil || !pause.For(c, registerRetryPause) {
 			return
@@ -128,9 +131,32 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peerAddrs = slices.DeleteFunc(s.peerAddrs, func(v string) bool { return v == a })
-	if !i.Deleted && a != s.selfAddr {
-		s.peerAddrs = append(s.peerAddrs, a)
+	delete(s.peerMilliCPU, a)
+	if i.Deleted || a == s.selfAddr {
+		return
+	}
+	s.peerAddrs = append(s.peerAddrs, a)
+	n, err := strconv.Atoi(string(i.Value))
+	if err != nil {
+		s.log.WithError(err).WithField("entry", a).Debug("entry_capacity_unknown")
+	}
+	if s.peerMilliCPU == nil {
+		s.peerMilliCPU = map[string]int{}
+	}
+	s.peerMilliCPU[a] = n
+}
+
+// PeersAbove returns how many other entries are registered with more processor capacity.
+func (s *Store) PeersAbove(milliCPU int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, v := range s.peerMilliCPU {
+		if v > milliCPU {
+			n++
+		}
 	}
+	return n
 }
 
 // answer is the outcome of a call, made directly or through a peer.
