Confirm the configuration by polling for changes, and index queues by name

A pass looked queues up by a scan for each job. Change: Committer.Poll, a watch that does not wait, asks for changes since the last one applied; the configuration is read only if that fails or the history is compacted. An unchanged revision is not decoded. Config.Queue uses an index. Test: TestConfirmByPoll (2 of 3 cases read the configuration before).

--- /dev/null
+++ b/intake/confirm_test.go
@@ -0,0 +1,98 @@
+package intake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hemlockhinge/intake"
+	"hemlockhinge/store"
+)
+
+// revisionStore holds the configuration at a revision, and counts the calls.
+type revisionStore struct {
+	store.Committer
+	revision  uint64
+	compacted bool
+	gets      int
+	polls     int
+}
+
+func (s *revisionStore) item() store.Item {
+	return store.Item{
+		Key:      configKey,
+		Revision: s.revision,
+	}
+}
+
+func (s *revisionStore) Get(context.Context, string) (store.Item, error) {
+	s.gets++
+	return s.item(), nil
+}
+
+func (s *revisionStore) List(context.Context, string, string) (store.Page, error) {
+	return store.Page{
+		Items:    []store.Item{s.item()},
+		Revision: s.revision,
+	}, nil
+}
+
+func (s *revisionStore) Watch(c context.Context, _ string, _ uint64) (store.Page, error) {
+	<-c.Done()
+	return store.Page{}, c.Err()
+}
+
+func (s *revisionStore) Poll(_ context.Context, _ string, rev uint64) (store.Page, error) {
+	s.polls++
+	p := store.Page{
+		Revision: s.revision,
+	}
+	switch {
+	case s.compacted:
+		return p, &store.CompactedError{}
+	case rev < s.revision:
+		p.Items = []store.Item{s.item()}
+	}
+	return p, nil
+}
+
+// TestConfirmByPoll guards against entries that read a large configuration again every
+// second to confirm that it is the newest: they ask for changes, and read it only if the
+// store cannot tell.
+func TestConfirmByPoll(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(s *revisionStore)
+		gets   int
+		want   uint64
+	}{
+		{"nothing changes", func(*revisionStore) {}, 0, 1},
+		{"the watch is late with a change", func(s *revisionStore) { s.revision = 5 }, 0, 5},
+		{"the history is compacted", func(s *revisionStore) { s.compacted = true; s.revision = 5 }, 1, 5},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &revisionStore{revision: 1}
+				d := newIntake(s)
+				c, cancel := context.WithCancel(context.Background())
+				go d.Run(c)
+				synctest.Wait()
+				v.change(s)
+				time.Sleep(2 * intake.ConfirmAge)
+				if _, err := d.Resolve(c, intake.Request{Queue: "q", APIKey: apiKey}); err != nil {
+					t.Errorf("request is not resolved: %v", err)
+				}
+				if s.gets != v.gets || s.polls != 1 {
+					t.Errorf("%d reads and %d polls, want %d and 1", s.gets, s.polls, v.gets)
+				}
+				if r := d.Dump().Revision; r != v.want {
+					t.Errorf("configuration of revision %d, want %d", r, v.want)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -139,6 +139,8 @@
 	ports     Ports
 	settings  Settings
 	scheduler schedulerClient
+	// objects follows the operators' objects.
+	objects mirror.Mirror
 
 	mu           sync.Mutex
 	config       *policy.Config
@@ -154,7 +156,7 @@
 
 // New returns an Intake. The caller must call Run.
 func New(p Ports, s Settings) *Intake {
-	return &Intake{
+	d := &Intake{
 		ports:        p,
 		settings:     s,
 		outOfService: map[string]bool{},
@@ -164,17 +166,18 @@
 			role: p.Leader.Role(),
 		},
 	}
+	d.objects = mirror.Mirror{
+		Store:  p.Store,
+		Prefix: p.Objects.Prefix(),
+		Apply:  d.apply,
+		Log:    p.Log,
+	}
+	return d
 }
 
 // Run follows changes of the operators' objects in the store until c ends.
 func (d *Intake) Run(c context.Context) {
-	m := mirror.Mirror{
-		Store:  d.ports.Store,
-		Prefix: d.ports.Objects.Prefix(),
-		Apply:  d.apply,
-		Log:    d.ports.Log,
-	}
-	m.Run(c)
+	d.objects.Run(c)
 	d.scheduler.close()
 }
 
@@ -205,6 +208,9 @@
 
 // adopt replaces the current configuration by the one in i if that is newer.
 func (d *Intake) adopt(i store.Item) {
+	if v, _ := d.configConfirmedWithin(0); v != nil && v.Revision >= i.Revision {
+		return
+	}
 	v, err := d.ports.Objects.Decode(i)
 	if err != nil {
 		d.ports.Log.WithError(err).WithField("revision", i.Revision).Error("configuration_unreadable")
@@ -300,6 +306,9 @@
 	if _, ok := d.configConfirmedWithin(age); ok {
 		return nil
 	}
+	if d.confirmUnchanged(c) {
+		return nil
+	}
 	sentAt := time.Now()
 	i, err := d.ports.Store.Get(c, d.ports.Objects.ConfigKey())
 	if err != nil {
@@ -311,6 +320,34 @@
 	return nil
 }
 
+// pollTimeout is how long confirmUnchanged waits for an answer. After that the
+// configuration is read, which may go through another process.
+const pollTimeout = 400 * time.Millisecond
+
+// confirmUnchanged asks the store whether any of the operators' objects has changed since
+// the last change that was applied, and reports whether the configuration is confirmed.
+// That is far cheaper than reading a configuration of a thousand queues again.
+func (d *Intake) confirmUnchanged(c context.Context) bool {
+	revision := d.objects.Revision()
+	if revision == 0 {
+		return false
+	}
+	c, cancel := context.WithTimeout(c, pollTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	p, err := d.ports.Store.Poll(c, d.ports.Objects.Prefix(), revision)
+	if err != nil {
+		return false
+	}
+	for _, i := range p.Items {
+		if i.Key == d.ports.Objects.ConfigKey() && !i.Deleted {
+			d.adopt(i)
+		}
+	}
+	d.markConfirmed(sentAt)
+	return true
+}
+
 // markConfirmed records that the configuration was the newest one at the given
 // time.
 func (d *Intake) markConfirmed(at time.Time) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -84,7 +84,7 @@
 	}, nil
 }
 
-func newIntake(s *flakyStore) *intake.Intake {
+func newIntake(s store.Committer) *intake.Intake {
 	l := logrus.New()
 	l.SetOutput(io.Discard)
 	g := logrus.NewEntry(l)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -93,6 +93,14 @@
 	return w, cancel, m.revision
 }
 
+// Revision returns the revision up to which all changes are applied, 0 before the first
+// listing.
+func (m *Mirror) Revision() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
 // setRevision records up to which revision all changes are applied.
 func (m *Mirror) setRevision(v uint64) {
 	m.mu.Lock()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,6 +9,7 @@
 
 import (
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -47,6 +48,9 @@
 	Customers []Customer
 	// MaxBodyBytes is the maximum size of a request body, in bytes.
 	MaxBodyBytes int64
+
+	indexOnce sync.Once
+	queues    map[string]*Queue
 }
 
 // MatchQueue returns the queue of a host with the longest prefix of path, and the part
@@ -79,14 +83,18 @@
 	return "", false
 }
 
-// Queue returns the queue with this name, or nil.
+// Queue returns the queue with this name, the first if there are several, or nil.
 func (c *Config) Queue(name string) *Queue {
-	for i := range c.Queues {
-		if c.Queues[i].Name == name {
-			return &c.Queues[i]
+	c.indexOnce.Do(func() {
+		c.queues = make(map[string]*Queue, len(c.Queues))
+		for i := range c.Queues {
+			q := &c.Queues[i]
+			if c.queues[q.Name] == nil {
+				c.queues[q.Name] = q
+			}
 		}
-	}
-	return nil
+	})
+	return c.queues[name]
 }
 
 // GuaranteedAccelerators returns the number of accelerators guaranteed to a customer.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -192,6 +192,15 @@
 	return a.item, a.err
 }
 
+// Poll implements store.Committer. It is made directly only.
+func (s *Store) Poll(c context.Context, prefix string, rev uint64) (store.Page, error) {
+	p, err := s.Committer.Poll(c, prefix, rev)
+	if err == nil {
+		s.recordDirect(true)
+	}
+	return p, err
+}
+
 // Commit implements store.Committer.
 func (s *Store) Commit(c context.Context, t store.Txn) (uint64, error) {
 	a := s.hedgedCall(c, &wire.StoreCommit{
--- a/store/guard.go
+++ b/store/guard.go
@@ -160,3 +160,11 @@
 	s.guard.observe(c, begun, err)
 	return r, err
 }
+
+// Poll implements Committer.
+func (s *guarded) Poll(c context.Context, prefix string, rev uint64) (Page, error) {
+	begun := time.Now()
+	p, err := s.Committer.Poll(c, prefix, rev)
+	s.guard.observe(c, begun, err)
+	return p, err
+}
--- a/store/store.go
+++ b/store/store.go
@@ -170,6 +170,9 @@
 	// *TxnConflictError if a precondition does not hold, *NotFoundError if a lease
 	// does not exist, or *UnavailableError.
 	Commit(c context.Context, t Txn) (uint64, error)
+	// Poll is Watch without waiting: an empty page means that nothing below the prefix
+	// has changed after revision rev.
+	Poll(c context.Context, prefix string, rev uint64) (Page, error)
 }
 
 // TxnConflictError says that a precondition of a Txn does not hold. Items holds the current
