Share attempts to confirm the configuration, and refuse at once in a known outage

Change: one attempt at a time, whose outcome all requests share; a request waits 400 ms for it, 60 ms once the outage is known, and is then refused; attempts follow each other after 300 ms while the store does not answer. A poll goes through another entry when the store is silent for this one alone, as reads do (StorePoll).

--- /dev/null
+++ b/intake/confirm.go
@@ -0,0 +1,227 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hemlockhinge/pause"
+	"hemlockhinge/policy"
+	"hemlockhinge/store"
+)
+
+const (
+	// ConfirmAge is how long after the store last confirmed the configuration
+	// requests are answered without confirming it again.
+	ConfirmAge = 1200 * time.Millisecond
+	// downConfirmInterval is the pause between attempts while the store does not answer.
+	downConfirmInterval = 300 * time.Millisecond
+	// attemptTimeout bounds an attempt to confirm the configuration.
+	attemptTimeout = time.Second
+	// A request waits for an attempt for answerTimeout, or for downAnswerTimeout while
+	// the store is known not to answer. A store that answers does so within milliseconds,
+	// and another process can be asked within answerTimeout.
+	answerTimeout     = 400 * time.Millisecond
+	downAnswerTimeout = 60 * time.Millisecond
+	// maxReadyAge is how long after the last confirmation of the configuration this
+	// process reports itself ready. Beyond that another process serves callers better.
+	maxReadyAge = 2 * time.Second
+)
+
+// confirmAttempt is an attempt to confirm that the configuration is the newest. All
+// requests that need a confirmation meanwhile share its outcome.
+type confirmAttempt struct {
+	begun time.Time
+	// done is closed at the end of the attempt; err is valid after that.
+	done chan struct{}
+	err  error
+}
+
+// errNoAnswerYet is returned to requests that do not wait for the end of an attempt.
+var errNoAnswerYet = errors.New("the store has not answered yet")
+
+// Ready returns nil when requests can be answered, or the reason why not.
+func (d *Intake) Ready() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.config == nil:
+		return fmt.Errorf("no configuration has been loaded yet")
+	case time.Since(d.confirmedAt) > maxReadyAge:
+		return fmt.Errorf("configuration last confirmed %s ago", time.Since(d.confirmedAt).Round(time.Millisecond))
+	}
+	return nil
+}
+
+// ConfirmLoop confirms the configuration every ConfirmAge unless a caller's request has
+// already done so, and more often while the store does not answer. It returns when c ends.
+func (d *Intake) ConfirmLoop(c context.Context) {
+	wait := ConfirmAge
+	for pause.For(c, wait) {
+		wait = ConfirmAge
+		if err := d.confirmConfig(c, ConfirmAge, attemptTimeout); err != nil {
+			d.ports.Log.WithError(err).Debug("configuration_unconfirmed")
+			wait = downConfirmInterval
+		}
+	}
+}
+
+// configConfirmedWithin returns the configuration, and whether the store
+// confirmed it within the given age.
+func (d *Intake) configConfirmedWithin(age time.Duration) (*policy.Config, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.config, d.config != nil && time.Since(d.confirmedAt) <= age
+}
+
+// currentConfig returns a configuration that the store confirmed within
+// ConfirmAge, or within MaxAge while the store does not answer.
+func (d *Intake) currentConfig(c context.Context) (*policy.Config, *Error) {
+	err := d.confirmConfig(c, ConfirmAge, d.patience())
+	v, ok := d.configConfirmedWithin(max(ConfirmAge, d.settings.MaxAge))
+	switch {
+	case ok:
+		return v, nil
+	case v == nil:
+		return nil, d.unavailable("no configuration has been loaded yet")
+	}
+	d.ports.Log.WithError(err).Debug("configuration_unconfirmed")
+	return nil, d.unavailable("the store did not confirm that the configuration is current")
+}
+
+// patience returns how long a request waits for an answer of the store.
+func (d *Intake) patience() time.Duration {
+	if d.storeKnownDown() {
+		return downAnswerTimeout
+	}
+	return answerTimeout
+}
+
+// storeKnownDown reports whether the store has not answered for longer than it refuses a
+// burst that exceeds its rate limits, or whether an attempt has lasted longer than a
+// request would wait for it.
+func (d *Intake) storeKnownDown() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.attempt != nil && time.Since(d.attempt.begun) >= answerTimeout {
+		return true
+	}
+	return !d.storeDownSince.IsZero() && time.Since(d.storeDownSince) > refusedRetryTime
+}
+
+// confirmConfig waits until the configuration was confirmed within age, an attempt to
+// confirm it fails, or the given time has passed.
+func (d *Intake) confirmConfig(c context.Context, age, wait time.Duration) error {
+	if _, ok := d.configConfirmedWithin(age); ok {
+		return nil
+	}
+	a := d.joinAttempt()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-a.done:
+		return a.err
+	case <-t.C:
+		return errNoAnswerYet
+	case <-c.Done():
+		return c.Err()
+	}
+}
+
+// joinAttempt returns the attempt in progress, or begins one.
+func (d *Intake) joinAttempt() *confirmAttempt {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.attempt != nil {
+		return d.attempt
+	}
+	a := &confirmAttempt{
+		begun: time.Now(),
+		done:  make(chan struct{}),
+	}
+	d.attempt = a
+	d.group.Go(func() {
+		c, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+		defer cancel()
+		a.err = d.confirmNow(c)
+		d.mu.Lock()
+		d.attempt = nil
+		d.mu.Unlock()
+		close(a.done)
+	})
+	return a
+}
+
+// confirmNow confirms the configuration: the store is asked whether any of the operators'
+// objects has changed since the last change that was applied. That is far cheaper than
+// reading a configuration of a thousand queues, which is done only if the store no longer
+// knows.
+func (d *Intake) confirmNow(c context.Context) error {
+	sentAt := time.Now()
+	err := d.pollObjects(c)
+	var compacted *store.CompactedError
+	if errors.As(err, &compacted) {
+		var i store.Item
+		i, err = d.ports.Store.Get(c, d.ports.Objects.ConfigKey())
+		if err == nil {
+			d.adopt(i)
+		}
+	}
+	if err != nil {
+		d.markUnavailable(sentAt, err)
+		return err
+	}
+	d.markConfirmed(sentAt)
+	return nil
+}
+
+// pollObjects adopts the newest configuration if it has changed since the last change that
+// was applied. Changes of other objects are left to the watch, which keeps their order.
+func (d *Intake) pollObjects(c context.Context) error {
+	revision := d.objects.Revision()
+	if revision == 0 {
+		return &store.CompactedError{}
+	}
+	p, err := d.ports.Store.Poll(c, d.ports.Objects.Prefix(), revision)
+	if err != nil {
+		return err
+	}
+	for _, i := range p.Items {
+		if i.Key == d.ports.Objects.ConfigKey() && !i.Deleted {
+			d.adopt(i)
+		}
+	}
+	return nil
+}
+
+// markConfirmed records that the configuration was the newest one at the given
+// time.
+func (d *Intake) markConfirmed(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at.After(d.confirmedAt) {
+		d.confirmedAt = at
+	}
+	if !d.storeDownSince.IsZero() {
+		d.ports.Log.WithFields(logrus.Fields{"reachable": true, "ms": time.Since(d.storeDownSince).Milliseconds()}).Info("store_reachability_changed")
+	}
+	d.storeDownSince = time.Time{}
+}
+
+// markUnavailable records that the store did not answer, or refused, a call made
+// at the given time. Errors of other kinds do not count.
+func (d *Intake) markUnavailable(at time.Time, err error) {
+	var u *store.UnavailableError
+	if !errors.As(err, &u) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.storeDownSince.IsZero() {
+		d.storeDownSince = at
+		d.ports.Log.WithError(err).WithField("reachable", false).Warn("store_reachability_changed")
+	}
+}
--- a/intake/confirm_test.go
+++ b/intake/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,3 +97,51 @@
 		})
 	}
 }
+
+// TestRequestsDoNotQueueInOutage guards against callers who are held until their deadline
+// while the store is silent: each waited for the attempts of those before it to confirm
+// the configuration. They must be refused soon, and at once when the outage is known; and
+// be served as soon as the store answers again.
+func TestRequestsDoNotQueueInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &flakyStore{}
+		d := newIntake(s)
+		defer time.Sleep(2 * storeCallTime)
+		if err := submit(d); err != nil {
+			t.Fatal(err)
+		}
+		c, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.ConfirmLoop(c)
+		s.unanswering = true
+		time.Sleep(2 * intake.ConfirmAge)
+		assertRefusedWithin(t, d, 500*time.Millisecond)
+		for range 3 {
+			time.Sleep(callerTimeout / 2)
+			assertRefusedWithin(t, d, 200*time.Millisecond)
+		}
+		s.unanswering = false
+		time.Sleep(storeCallTime + 400*time.Millisecond)
+		if err := submit(d); err != nil {
+			t.Errorf("refused although the store answers again: %v", err)
+		}
+	})
+}
+
+// assertRefusedWithin submits 20 jobs at the same time.
+func assertRefusedWithin(t *testing.T, d *intake.Intake, most time.Duration) {
+	t.Helper()
+	begun := time.Now()
+	var w sync.WaitGroup
+	for range 20 {
+		w.Go(func() {
+			if err := submit(d); err == nil {
+				t.Error("a job was accepted while the store did not answer")
+			}
+		})
+	}
+	w.Wait()
+	if took := time.Since(begun); took > most {
+		t.Errorf("requests were refused after %s, want within %s", took, most)
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -17,7 +17,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -29,19 +28,13 @@
 	"hemlockhinge/leader"
 	"hemlockhinge/meter"
 	"hemlockhinge/mirror"
-	"hemlockhinge/pause"
 	"hemlockhinge/policy"
 	"hemlockhinge/store"
 	"hemlockhinge/wire"
 )
 
-const (
-	// ConfirmAge is how long after the store last confirmed the configuration
-	// requests are answered without confirming it again.
-	ConfirmAge = 1200 * time.Millisecond
-	// retryPause is the pause between tries of a write.
-	retryPause = 40 * time.Millisecond
-)
+// retryPause is the pause between tries of a write.
+const retryPause = 40 * time.Millisecond
 
 // Bounds of the Retry-After that refused callers are sent.
 const (
@@ -149,9 +142,9 @@
 	// storeDownSince is when the first of the store's present run of unanswered
 	// or refused calls was made; zero while the store answers.
 	storeDownSince time.Time
-	// confirming is a semaphore: it holds one element while a call confirms the
-	// configuration.
-	confirming chan struct{}
+	// attempt is the attempt to confirm the configuration that is in progress, or nil.
+	attempt *confirmAttempt
+	group   sync.WaitGroup
 }
 
 // New returns an Intake. The caller must call Run.
@@ -160,7 +153,6 @@
 		ports:        p,
 		settings:     s,
 		outOfService: map[string]bool{},
-		confirming:   make(chan struct{}, 1),
 		scheduler: schedulerClient{
 			net:  p.Net,
 			role: p.Leader.Role(),
@@ -179,6 +171,7 @@
 func (d *Intake) Run(c context.Context) {
 	d.objects.Run(c)
 	d.scheduler.close()
+	d.group.Wait()
 }
 
 // apply applies a change of one of the operators' objects.
@@ -240,144 +233,6 @@
 	d.ports.Leader.SetOperatorSettings(o)
 }
 
-// Ready returns nil when requests can be answered, or the reason why not.
-func (d *Intake) Ready() error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch {
-	case d.config == nil:
-		return fmt.Errorf("no configuration has been loaded yet")
-	case time.Since(d.confirmedAt) > maxReadyAge:
-		return fmt.Errorf("configuration last confirmed %s ago", time.Since(d.confirmedAt).Round(time.Millisecond))
-	}
-	return nil
-}
-
-// maxReadyAge is how long after the last confirmation of the configuration this
-// process reports itself ready. Beyond that another process serves callers
-// better.
-const maxReadyAge = 2 * time.Second
-
-// ConfirmLoop confirms the configuration every ConfirmAge unless a caller's
-// request has already done so. It returns when c ends.
-func (d *Intake) ConfirmLoop(c context.Context) {
-	for pause.For(c, ConfirmAge) {
-		if err := d.confirmConfig(c, ConfirmAge); err != nil {
-			d.ports.Log.WithError(err).Debug("configuration_unconfirmed")
-		}
-	}
-}
-
-// configConfirmedWithin returns the configuration, and whether the store
-// confirmed it within the given age.
-func (d *Intake) configConfirmedWithin(age time.Duration) (*policy.Config, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.config, d.config != nil && time.Since(d.confirmedAt) <= age
-}
-
-// currentConfig returns a configuration that the store confirmed within
-// ConfirmAge, or within MaxAge while the store does not answer.
-func (d *Intake) currentConfig(c context.Context) (*policy.Config, *Error) {
-	if v, ok := d.configConfirmedWithin(ConfirmAge); ok {
-		return v, nil
-	}
-	err := d.confirmConfig(c, ConfirmAge)
-	v, ok := d.configConfirmedWithin(d.settings.MaxAge)
-	switch {
-	case ok:
-		return v, nil
-	case v == nil:
-		return nil, d.unavailable("no configuration has been loaded yet")
-	}
-	d.ports.Log.WithError(err).Debug("configuration_unconfirmed")
-	return nil, d.unavailable("the store did not confirm that the configuration is current")
-}
-
-// confirmConfig confirms the configuration by a read that returns the newest
-// value in the store, unless another call has done so within age.
-func (d *Intake) confirmConfig(c context.Context, age time.Duration) error {
-	select {
-	case d.confirming <- struct{}{}:
-		defer func() { <-d.confirming }()
-	case <-c.Done():
-		return c.Err()
-	}
-	if _, ok := d.configConfirmedWithin(age); ok {
-		return nil
-	}
-	if d.confirmUnchanged(c) {
-		return nil
-	}
-	sentAt := time.Now()
-	i, err := d.ports.Store.Get(c, d.ports.Objects.ConfigKey())
-	if err != nil {
-		d.markUnavailable(c, sentAt, err)
-		return err
-	}
-	d.adopt(i)
-	d.markConfirmed(sentAt)
-	return nil
-}
-
-// pollTimeout is how long confirmUnchanged waits for an answer. After that the
-// configuration is read, which may go through another process.
-const pollTimeout = 400 * time.Millisecond
-
-// confirmUnchanged asks the store whether any of the operators' objects has changed since
-// the last change that was applied, and reports whether the configuration is confirmed.
-// That is far cheaper than reading a configuration of a thousand queues again.
-func (d *Intake) confirmUnchanged(c context.Context) bool {
-	revision := d.objects.Revision()
-	if revision == 0 {
-		return false
-	}
-	c, cancel := context.WithTimeout(c, pollTimeout)
-	defer cancel()
-	sentAt := time.Now()
-	p, err := d.ports.Store.Poll(c, d.ports.Objects.Prefix(), revision)
-	if err != nil {
-		return false
-	}
-	for _, i := range p.Items {
-		if i.Key == d.ports.Objects.ConfigKey() && !i.Deleted {
-			d.adopt(i)
-		}
-	}
-	d.markConfirmed(sentAt)
-	return true
-}
-
-// markConfirmed records that the configuration was the newest one at the given
-// time.
-func (d *Intake) markConfirmed(at time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if at.After(d.confirmedAt) {
-		d.confirmedAt = at
-	}
-	if !d.storeDownSince.IsZero() {
-		d.ports.Log.WithFields(logrus.Fields{"reachable": true, "ms": time.Since(d.storeDownSince).Milliseconds()}).Info("store_reachability_changed")
-	}
-	d.storeDownSince = time.Time{}
-}
-
-// markUnavailable records that the store did not answer, or refused, a call made
-// at the given time. Errors of other kinds, and calls whose own context has
-// ended, do not count.
-func (d *Intake) markUnavailable(c context.Context, at time.Time, err error) {
-	var u *store.UnavailableError
-	if c.Err() != nil || !errors.As(err, &u) {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.storeDownSince.IsZero() {
-		d.storeDownSince = at
-		d.ports.Log.WithError(err).WithField("reachable", false).Warn("store_reachability_changed")
-	}
-}
-
 // Resolve looks up the queue and the customer of a request. Its error is an
 // *Error.
 func (d *Intake) Resolve(c context.Context, v Request) (*ResolvedRequest, error) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -139,6 +139,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &flakyStore{}
 		d := newIntake(s)
+		defer time.Sleep(2 * storeCallTime) // for attempts in the background
 		if err := submit(d); err != nil || s.commits != 1 {
 			t.Fatalf("error %v, %d writes while the store answers", err, s.commits)
 		}
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -161,7 +161,7 @@
 				return err
 			}
 		}
-		if !w.mayHaveCommitted && time.Since(begun) > refusedRetryTime {
+		if !w.mayHaveCommitted && (time.Since(begun) > refusedRetryTime || d.storeKnownDown()) {
 			return d.outcomeError(w)
 		}
 		if !pause.For(c, retryPause) {
@@ -181,7 +181,7 @@
 	if _, ok := d.configConfirmedWithin(maxAnswerAge); ok {
 		return true
 	}
-	err := d.confirmConfig(c, maxAnswerAge)
+	err := d.confirmConfig(c, maxAnswerAge, d.patience())
 	if err != nil {
 		d.ports.Log.WithError(err).Info("write_not_sent")
 	}
@@ -219,15 +219,22 @@
 	case errors.As(err, &f):
 		return d.resolveConflict(w, f)
 	case errors.As(err, &u) && u.Refused:
-		d.markUnavailable(c, sentAt, err)
+		d.noteFailure(c, sentAt, err)
 		return false, nil
 	}
 	w.mayHaveCommitted = true
-	d.markUnavailable(c, sentAt, err)
+	d.noteFailure(c, sentAt, err)
 	d.ports.Log.WithError(err).WithField("key", w.key).Info("write_unanswered")
 	return false, nil
 }
 
+// noteFailure records a call that failed, unless its caller has given up.
+func (d *Intake) noteFailure(c context.Context, sentAt time.Time, err error) {
+	if c.Err() == nil {
+		d.markUnavailable(sentAt, err)
+	}
+}
+
 // resolveConflict handles a write whose condition did not hold. If the
 // configuration has changed, the request is resolved again in the new one, and
 // the write can be tried again unless that fails.
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -98,6 +98,8 @@
 			item: i,
 			err:  err,
 		}), nil
+	case *wire.StorePoll:
+		return encodeAnswer(pollAnswer(s.Committer.Poll(c, v.Prefix, v.Revision))), nil
 	case *wire.StoreCommit:
 		r, err := s.Committer.Commit(c, v.Txn)
 		return encodeAnswer(answer{
@@ -111,11 +113,16 @@
 func encodeAnswer(a answer) *wire.StoreAnswer {
 	r := &wire.StoreAnswer{
 		Item:     a.item,
+		Items:    a.items,
 		Revision: a.revision,
 	}
 	var n *store.NotFoundError
 	var t *store.TxnConflictError
+	var g *store.CompactedError
 	switch {
+	case errors.As(a.err, &g):
+		r.Outcome = wire.StoreCompacted
+		r.Revision = g.Revision
 	case a.err == nil:
 		r.Outcome = wire.StoreDone
 	case errors.As(a.err, &n):
@@ -137,6 +144,7 @@
 func decodeAnswer(r *wire.StoreAnswer) answer {
 	a := answer{
 		item:     r.Item,
+		items:    r.Items,
 		revision: r.Revision,
 	}
 	switch r.Outcome {
@@ -149,6 +157,10 @@
 		a.err = &store.TxnConflictError{
 			Items: r.Items,
 		}
+	case wire.StoreCompacted:
+		a.err = &store.CompactedError{
+			Revision: r.Revision,
+		}
 	case wire.StoreRefused:
 		a.err = unavailable(errors.New(r.Detail), true)
 	default:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,7 +46,7 @@
 // peersPrefix is the prefix of the keys under which entries register.
 const peersPrefix = "hemlockhinge/entry/"
 
-// Store is a store.Committer whose Get and Commit fall back to a peer.
+// Store is a store.Committer whose Get, Poll and Commit fall back to a peer.
 type Store struct {
 	store.Committer
 	network wire.Network
@@ -162,6 +162,7 @@
 // answer is the outcome of a call, made directly or through a peer.
 type answer struct {
 	item     store.Item
+	items    []store.Item
 	revision uint64
 	err      error
 }
@@ -192,13 +193,26 @@
 	return a.item, a.err
 }
 
-// Poll implements store.Committer. It is made directly only.
+// Poll implements store.Committer.
 func (s *Store) Poll(c context.Context, prefix string, rev uint64) (store.Page, error) {
-	p, err := s.Committer.Poll(c, prefix, rev)
-	if err == nil {
-		s.recordDirect(true)
+	a := s.hedgedCall(c, &wire.StorePoll{
+		Prefix:   prefix,
+		Revision: rev,
+	}, func(c context.Context) answer {
+		return pollAnswer(s.Committer.Poll(c, prefix, rev))
+	})
+	return store.Page{
+		Items:    a.items,
+		Revision: a.revision,
+	}, a.err
+}
+
+func pollAnswer(p store.Page, err error) answer {
+	return answer{
+		items:    p.Items,
+		revision: p.Revision,
+		err:      err,
 	}
-	return p, err
 }
 
 // Commit implements store.Committer.
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -58,6 +58,7 @@
 	KindStoreCommit
 	KindStoreAnswer
 	KindInputWritten
+	KindStorePoll
 )
 
 // constructors returns an empty message to decode into, by kind.
@@ -109,6 +110,7 @@
 	KindStoreCommit:       func() Message { return &StoreCommit{} },
 	KindStoreAnswer:       func() Message { return &StoreAnswer{} },
 	KindInputWritten:      func() Message { return &InputWritten{} },
+	KindStorePoll:         func() Message { return &StorePoll{} },
 }
 
 // Message is the body of a frame. Every message type reports its own kind.
@@ -256,3 +258,6 @@
 
 // Kind implements Message.
 func (*InputWritten) Kind() Kind { return KindInputWritten }
+
+// Kind implements Message.
+func (*StorePoll) Kind() Kind { return KindStorePoll }
