Stop in time what runs on workers that leave

Change: alloc.Vacate. A group that cannot end in time is stopped: just before the worker leaves if it saves checkpoints, otherwise as soon as there is room for it elsewhere. The agent counts the time that is left from the worker's heartbeat on.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -37,6 +37,10 @@
 	RunsBestEffort bool
 	// Unschedulable excludes the worker from new placements.
 	Unschedulable bool
+	// Leaving means that the worker shuts down, and LeavesIn is for how long it still
+	// stays at least.
+	Leaving  bool
+	LeavesIn time.Duration
 	// FailureScore rises with recent failures of the worker; workers with a lower value
 	// are preferred.
 	FailureScore int
--- /dev/null
+++ b/alloc/vacate.go
@@ -0,0 +1,68 @@
+package alloc
+
+import (
+	"time"
+
+	"hemlockhinge/graph"
+)
+
+// Vacate returns the groups to stop now because a worker that they run on leaves before
+// they end. It answers this pattern: workers are drained one after the other, or at short
+// notice, under tasks that run longer than the notice, and everything that such a worker
+// still runs is lost with it.
+//
+// A group that saves checkpoints runs on until stopTime, the time that a stop takes,
+// before the first of its workers leaves: the checkpoint that it saves when it is stopped
+// then loses nothing. Any other group loses all its work in either case, so it is stopped
+// as soon as there is room to start it elsewhere, before it does more work in vain. A
+// group that is expected to end in time runs on.
+//
+// Vacate updates the workers for the room that it finds and marks the groups that it
+// stops.
+func Vacate(w []Worker, g []Group, stopTime time.Duration) []int {
+	var stop []int
+	for i := range g {
+		v := &g[i]
+		left, leaving := v.timeLeft(w)
+		if !leaving || v.Stopping || v.NonPreemptible || v.ExpectedRemaining <= left {
+			continue
+		}
+		if v.Checkpoints && left > stopTime || !v.Checkpoints && !v.takeRoom(w) {
+			continue
+		}
+		v.Stopping = true
+		stop = append(stop, i)
+	}
+	return stop
+}
+
+// timeLeft returns how long the first worker of the group to leave stays, and whether any
+// of them leaves.
+func (g *Group) timeLeft(w []Worker) (left time.Duration, leaving bool) {
+	for i := range g.Usage {
+		if w[i].Leaving && (!leaving || w[i].LeavesIn < left) {
+			left = w[i].LeavesIn
+			leaving = true
+		}
+	}
+	return left, leaving
+}
+
+// takeRoom allocates free capacity for the tasks of the group, and reports whether there
+// is enough.
+func (g *Group) takeRoom(w []Worker) bool {
+	if g.Step == nil {
+		return false
+	}
+	u := Unit{
+		Service: g.Service,
+		Step:    g.Step,
+		Tasks:   make([]graph.Task, g.Tasks),
+		AnyRack: true,
+	}
+	at, ok := place(w, &u)
+	if ok {
+		allocate(w, &u, at)
+	}
+	return ok
+}
--- a/leader/agent.go
+++ b/leader/agent.go
@@ -74,6 +74,8 @@
 	clockOffset    time.Duration
 	hasClockOffset bool
 	failures       failureTracker
+	// leavesAt is until when a leaving worker stays at least.
+	leavesAt time.Time
 }
 
 // unexpectedRun is a run that should not exist; the scheduler stops it.
@@ -386,6 +388,7 @@
 		m.failures = failureTracker{}
 	}
 	m.worker = w
+	m.leavesAt = time.Now().Add(time.Duration(w.LeavesMS) * time.Millisecond)
 }
 
 // applyReportedRun applies one run of an agent's report.
--- a/leader/order.go
+++ b/leader/order.go
@@ -239,10 +239,14 @@
 			Borrowed:       !j.withinGuarantee,
 			RemainingKnown: true,
 			NonPreemptible: s.LongRunning,
+			Service:        j.Service,
+			Step:           s,
+			Checkpoints:    s.Checkpoints,
 		})
 		g.runs = append(g.runs, nil)
 	}
 	v := &g.groups[n]
+	v.Tasks++
 	i := g.workerIndex[r.agent]
 	v.Usage[i] = v.Usage[i].Add(r.size)
 	v.Cost += preemptionCost(j, s, r, now)
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -21,6 +21,9 @@
 	// spreadWaitFactor times its estimate is how long a step waits for free capacity
 	// in one rack before it may be spread over several.
 	spreadWaitFactor = 1.0
+	// vacateMargin is the time reserved for an order to stop a run on a leaving worker to
+	// be decided on and to arrive.
+	vacateMargin = 600 * time.Millisecond
 )
 
 // queue returns a job's queue, or nil if it is no longer configured.
@@ -57,6 +60,11 @@
 	for _, p := range d.Start {
 		t.startUnit(p, agents, now)
 	}
+	for _, i := range alloc.Vacate(w, g, t.leader.settings.MaxStopTime+vacateMargin) {
+		for _, r := range runs[i] {
+			t.vacate(r, now)
+		}
+	}
 }
 
 // allocWorkers returns the workers as alloc takes them, and their agents in the same
@@ -85,6 +93,8 @@
 			RunsLatencyTasks: m.runsStep(t, func(s *graph.Step) bool { return s.TailLatencyTarget > 0 }),
 			RunsBestEffort:   m.runsStep(t, func(s *graph.Step) bool { return s.BestEffort }),
 			Unschedulable:    m.peer == nil || !m.accountedFor || !m.acceptsTasks || !f.Known || f.Leaving || f.Gone || out[f.Zone] || d >= blockedScore,
+			Leaving:          f.Leaving,
+			LeavesIn:         max(m.leavesAt.Sub(now), 0),
 			FailureScore:     d,
 		})
 	}
--- a/leader/stop.go
+++ b/leader/stop.go
@@ -73,6 +73,20 @@
 	t.stopRun(r, now)
 }
 
+// vacate stops a run because a worker of its group leaves before it ends.
+func (t *term) vacate(r *run, now time.Time) {
+	r.stopping = true
+	t.log.WithFields(logrus.Fields{
+		"task":         r.task.String(),
+		"attempt":      r.attempt,
+		"agent":        r.agent.addr,
+		"ran_ms":       now.Sub(r.startedAt).Milliseconds(),
+		"weight":       coreEquivalents(r.size),
+		"leaves_in_ms": r.agent.leavesAt.Sub(now).Milliseconds(),
+	}).Info("run_vacated")
+	t.stopRun(r, now)
+}
+
 func (t *term) stopRun(r *run, now time.Time) {
 	if r.phase != running || r.agent.peer == nil || now.Sub(r.stopSentAt) < stopRetryInterval {
 		return
--- a/runner/report.go
+++ b/runner/report.go
@@ -46,7 +46,7 @@
 		Seq:     r.statusSeq,
 		Node:    r.settings.Node,
 		Settled: r.fenced,
-		Worker:  r.worker,
+		Worker:  r.workerNow(),
 		WallMS:  r.ports.WallClock().UnixMilli(),
 		Vacant:  r.leasesExpired,
 		AgentMS: r.clockMS(),
@@ -72,6 +72,14 @@
 	return s
 }
 
+// workerNow returns what the worker reported about itself, with the time for which it still
+// stays counted from now. The caller holds r.mu.
+func (r *Runner) workerNow() wire.WorkerInfo {
+	w := r.worker
+	w.LeavesMS = max(w.LeavesMS-time.Since(r.heartbeatAt).Milliseconds(), 0)
+	return w
+}
+
 // Dump returns the state of the runner for the operators' debug interface.
 func (r *Runner) Dump() any {
 	r.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -92,6 +92,7 @@
 	worker wire.WorkerInfo
 	// heartbeatSeq is the sequence number of the newest heartbeat.
 	heartbeatSeq int64
+	heartbeatAt  time.Time
 	clock        workerClock
 	// fenced is false while an earlier order may still take effect.
 	fenced bool
@@ -162,6 +163,7 @@
 	old := r.worker
 	r.worker = f
 	r.heartbeatSeq = seq
+	r.heartbeatAt = time.Now()
 	if r.ports.OnPresenceChange != nil && (f.Born != old.Born || f.ID != old.ID) {
 		r.ports.OnPresenceChange(true)
 	}
