Fuzz every decoder; check claimed lengths before decoding; survive panics of handlers

Found by FuzzDecode within 10 s: a frame of 18 bytes that claims an array of 2.8 billion elements exhausts the memory of the process (the library's limit on allocations does not work); the same holds for records of the store. By reading: a panic in a handler of messages ended the process. Change: package codec refuses lengths that the data cannot hold; used for frames, job records, progress and the role's record. wire.Peer turns a panic of a handler into a refusal, closes the connection and reports it (handler_panicked).

--- /dev/null
+++ b/codec/codec_test.go
@@ -0,0 +1,72 @@
+package codec_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hemlockhinge/codec"
+)
+
+type record struct {
+	Name  string
+	Items []struct {
+		Key  string
+		Data []byte
+	}
+	Ages  map[string]float64
+	Count int64
+}
+
+// TestCheckLengths guards against a few malformed bytes that make a process allocate all
+// of its memory.
+func TestCheckLengths(t *testing.T) {
+	cases := []struct {
+		name string
+		b    []byte
+		ok   bool
+	}{
+		{"empty", nil, true},
+		{"array of three", []byte{0x93, 1, 2, 3}, true},
+		{"array longer than the data", []byte{0xdd, 0xa6, 0x52, 0x65, 0x6d, 0xc0}, false},
+		{"map longer than the data", []byte{0xdf, 0, 0, 1, 0, 0xc0}, false},
+		{"string longer than the data", []byte{0xda, 0x10, 0, 'a'}, false},
+		{"length cut off", []byte{0xdc, 1}, false},
+		{"nested array longer than the data", []byte{0x92, 1, 0xdc, 0xff, 0xff}, false},
+		{"extension", []byte{0xd6, 1, 0, 0, 0, 0}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			err := codec.Check(c.b)
+			var e *codec.LengthError
+			if (err == nil) != c.ok || err != nil && !errors.As(err, &e) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+// FuzzUnmarshal checks that whatever the library writes passes the check, and that no
+// input makes decoding fail other than with an error.
+func FuzzUnmarshal(f *testing.F) {
+	f.Add([]byte("abc"), 3.5, int64(-70000))
+	f.Add([]byte{0x93, 1, 2, 3}, 0.0, int64(1<<40))
+	f.Add([]byte{0xdd, 0xa6, 0x52, 0x65, 0x6d, 0xc0}, -1.0, int64(255))
+	f.Fuzz(func(t *testing.T, b []byte, x float64, n int64) {
+		var v record
+		_ = codec.Unmarshal(b, &v)
+		w := record{Name: string(b), Ages: map[string]float64{string(b): x}, Count: n}
+		w.Items = append(w.Items, struct {
+			Key  string
+			Data []byte
+		}{string(b), b})
+		e, err := msgpack.Marshal(&w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := codec.Unmarshal(e, &v); err != nil {
+			t.Errorf("record that was written is refused: %v", err)
+		}
+	})
+}
--- a/leader/agent.go
+++ b/leader/agent.go
@@ -156,7 +156,12 @@
 		}
 		return nil, nil
 	}))
-	t.goroutines.Go(func() { _ = p.Run(c) })
+	t.goroutines.Go(func() {
+		var e *wire.PanicError
+		if err := p.Run(c); errors.As(err, &e) {
+			t.log.WithError(e).WithFields(logrus.Fields{"agent": m.addr, "stack": e.Stack}).Error("handler_panicked")
+		}
+	})
 	defer p.Close()
 	s, err := wire.CallFor[*wire.AgentStatus](c, p, o, t.allowingForLag(sessionOpenTimeout))
 	if err != nil {
--- a/leader/election.go
+++ b/leader/election.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"hemlockhinge/codec"
 	"hemlockhinge/pause"
 	"hemlockhinge/store"
 )
@@ -108,7 +109,7 @@
 // observe records the holder of the role.
 func (r *Role) observe(i store.Item) {
 	var h holder
-	if err := msgpack.Unmarshal(i.Value, &h); err != nil {
+	if err := codec.Unmarshal(i.Value, &h); err != nil {
 		r.log.WithError(err).WithField("key", i.Key).Warn("role_record_invalid")
 		return
 	}
--- a/leader/keys.go
+++ b/leader/keys.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"hemlockhinge/codec"
 	"hemlockhinge/graph"
 )
 
@@ -41,7 +42,7 @@
 // DecodeJob decodes and checks a job's record.
 func DecodeJob(b []byte) (*graph.Job, error) {
 	var j graph.Job
-	if err := msgpack.Unmarshal(b, &j); err != nil {
+	if err := codec.Unmarshal(b, &j); err != nil {
 		return nil, fmt.Errorf("decode job record: %w", err)
 	}
 	return &j, j.Check()
@@ -50,7 +51,7 @@
 // DecodeProgress decodes a job's progress.
 func DecodeProgress(b []byte) (*graph.Progress, error) {
 	var p graph.Progress
-	if err := msgpack.Unmarshal(b, &p); err != nil {
+	if err := codec.Unmarshal(b, &p); err != nil {
 		return nil, fmt.Errorf("decode job progress: %w", err)
 	}
 	return &p, nil
--- a/leader/pass_bench_test.go
+++ b/leader/pass_bench_test.go
@@ -66,22 +66,8 @@
 func newBenchTerm(workers int) *term {
 	t := newTestTerm()
 	t.leader.operatorSettings.Config = benchConfig()
-	p := wire.NewPeer(sinkConn{}, wire.RefuseCalls)
 	for i := range workers {
-		m := newAgentState(fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250), func() {})
-		m.peer = p
-		m.accountedFor = true
-		m.acceptsTasks = true
-		m.worker = wire.WorkerInfo{
-			Known:    true,
-			ID:       m.addr,
-			Born:     1,
-			Service:  benchService,
-			Zone:     fmt.Sprintf("z%d", i%5),
-			Rack:     fmt.Sprintf("r%d", i/benchRack),
-			Capacity: graph.Size{MilliCPU: 128000, MemoryMiB: 524288, Accelerators: 8},
-		}
-		t.agents[m.addr] = m
+		t.addBenchAgent(i)
 	}
 	t.fillBenchWorkers()
 	queues := []string{"urgent", "gangs", "wide"}
@@ -91,6 +77,24 @@
 	return t
 }
 
+// addBenchAgent adds an agent in session whose worker runs nothing.
+func (t *term) addBenchAgent(i int) {
+	m := newAgentState(fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250), func() {})
+	m.peer = wire.NewPeer(sinkConn{}, wire.RefuseCalls)
+	m.accountedFor = true
+	m.acceptsTasks = true
+	m.worker = wire.WorkerInfo{
+		Known:    true,
+		ID:       m.addr,
+		Born:     1,
+		Service:  benchService,
+		Zone:     fmt.Sprintf("z%d", i%5),
+		Rack:     fmt.Sprintf("r%d", i/benchRack),
+		Capacity: graph.Size{MilliCPU: 128000, MemoryMiB: 524288, Accelerators: 8},
+	}
+	t.agents[m.addr] = m
+}
+
 // fillBenchWorkers runs tasks of wide jobs on all accelerators.
 func (t *term) fillBenchWorkers() {
 	var j *job
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -25,6 +25,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"hemlockhinge/codec"
 )
 
 // Limits of a connection.
@@ -169,6 +171,11 @@
 
 func decode(b []byte) (Frame, error) {
 	var f Frame
+	if err := codec.Check(b); err != nil {
+		return f, &FrameError{
+			Detail: err.Error(),
+		}
+	}
 	d := msgpack.NewDecoder(bytes.NewReader(b))
 	k, err := d.DecodeUint64()
 	if err != nil {
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 )
@@ -41,6 +42,18 @@
 
 func (e *ClosedError) Error() string { return fmt.Sprintf("connection to %s is closed", e.Remote) }
 
+// PanicError says that a handler panicked. The connection is closed then: a message that
+// cannot be handled must not end the process, with all its other connections.
+type PanicError struct {
+	Kind  Kind
+	Value any
+	Stack string
+}
+
+func (e *PanicError) Error() string {
+	return fmt.Sprintf("handler of messages of kind %d panicked: %v", e.Kind, e.Value)
+}
+
 // Peer makes and answers calls over one connection.
 type Peer struct {
 	conn    *Conn
@@ -51,6 +64,8 @@
 	pending   map[uint64]chan Message
 	done      chan struct{}
 	closeOnce sync.Once
+	// panicked is the first panic of a handler, or nil.
+	panicked *PanicError
 	// handlerSlots is a semaphore that bounds concurrent handlers.
 	handlerSlots chan struct{}
 }
@@ -84,8 +99,18 @@
 }
 
 // Run receives frames until the connection is closed or c ends, and then waits for the
-// running handlers.
+// running handlers. It returns *PanicError if one of them panicked.
 func (p *Peer) Run(c context.Context) error {
+	err := p.receive(c)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.panicked != nil {
+		return p.panicked
+	}
+	return err
+}
+
+func (p *Peer) receive(c context.Context) error {
 	c, cancel := context.WithCancel(c)
 	defer cancel()
 	defer context.AfterFunc(c, p.Close)()
@@ -127,7 +152,11 @@
 
 // handleCall runs the handler on a received message and replies if it is a call.
 func (p *Peer) handleCall(c context.Context, f Frame) {
-	m, err := p.handler.Handle(c, p, f.Message)
+	m, err := p.handle(c, f.Message)
+	var fault *PanicError
+	if errors.As(err, &fault) {
+		defer p.Close()
+	}
 	if f.ID == 0 {
 		return
 	}
@@ -144,6 +173,28 @@
 	})
 }
 
+// handle runs the handler, and returns *PanicError if it panics.
+func (p *Peer) handle(c context.Context, m Message) (r Message, err error) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		e := &PanicError{
+			Kind:  m.Kind(),
+			Value: v,
+			Stack: string(debug.Stack()),
+		}
+		err = e
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.panicked == nil {
+			p.panicked = e
+		}
+	}()
+	return p.handler.Handle(c, p, m)
+}
+
 // refusalFor returns the reply to a call whose handler returned an error.
 func refusalFor(err error) Message {
 	var r *RefusedError
