Revert "Restart runs that stand still on workers that go on answering"

Cause, from the log of grey-answers seed 3: the agent of a worker that does not answer goes on reporting the last progress that it knows, so runs that work on count as stalled; 37 were restarted. A later try must have the agent report when the worker last listed the run.

--- a/alloc/preempt.go
+++ b/alloc/preempt.go
@@ -34,10 +34,6 @@
 	Remaining time.Duration
 	// RemainingKnown is set if Remaining is known.
 	RemainingKnown bool
-	// Stalled is for how long a task of the group has made no progress, and LostByRestart
-	// how long it takes to repeat the work that a restart of the group loses.
-	Stalled       time.Duration
-	LostByRestart time.Duration
 	// ExpectedRemaining is how much longer the group is expected to run, by its
 	// progress or by estimates.
 	ExpectedRemaining time.Duration
--- a/leader/failures.go
+++ b/leader/failures.go
@@ -45,18 +45,13 @@
 // workers first.
 func (g *failureTracker) recordRefusal(t graph.Task, c wire.Code, now time.Time) {
 	if c == wire.CodeFailed {
-		g.recordFailure(t, now)
+		g.recordEnd(graph.End{
+			Task:    t,
+			Outcome: graph.OutcomeFailed,
+		}, now)
 	}
 }
 
-// recordFailure counts a failure of a task that still runs or did not start.
-func (g *failureTracker) recordFailure(t graph.Task, now time.Time) {
-	g.recordEnd(graph.End{
-		Task:    t,
-		Outcome: graph.OutcomeFailed,
-	}, now)
-}
-
 // score returns the number of jobs that recently failed at the worker, or
 // blockedScore while the worker is to get no tasks.
 func (g *failureTracker) score(now time.Time) int {
--- a/leader/order.go
+++ b/leader/order.go
@@ -256,26 +256,10 @@
 		d = max(g.term.expectedRunTime(j, s)-now.Sub(r.startedAt), minExpectedRemaining)
 	}
 	v.ExpectedRemaining = max(v.ExpectedRemaining, d)
-	if j.restarts < maxRestarts {
-		v.Stalled = max(v.Stalled, r.progress.stalled())
-	}
-	v.LostByRestart = max(v.LostByRestart, lostByRestart(s, r, g.term.expectedRunTime(j, s)))
 	v.RemainingKnown = v.RemainingKnown && timed && !r.resumed
 	g.runs[n] = append(g.runs[n], r)
 }
 
-// maxRestarts is how often tasks of a job are restarted because they stand still.
-const maxRestarts = 3
-
-// lostByRestart returns how long it takes to repeat the work of a run that a restart
-// loses.
-func lostByRestart(s *graph.Step, r *run, expected time.Duration) time.Duration {
-	if s.Checkpoints {
-		return time.Duration(restoreSeconds * float64(time.Second))
-	}
-	return r.progress.worked(expected)
-}
-
 // preemptionCost is the work in core-seconds that is lost when a run is preempted.
 func preemptionCost(j *job, s *graph.Step, r *run, now time.Time) float64 {
 	lost := now.Sub(r.startedAt).Seconds()
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -65,12 +65,6 @@
 			t.vacate(r, now)
 		}
 	}
-	for _, i := range alloc.RestartStalled(w, g) {
-		t.jobs[runs[i][0].task.Job].restarts++
-		for _, r := range runs[i] {
-			t.restartStalled(r, now)
-		}
-	}
 }
 
 // allocWorkers returns the workers as alloc takes them, and their agents in the same
--- a/leader/progress.go
+++ b/leader/progress.go
@@ -22,8 +22,6 @@
 	hasRate       bool
 	windowPercent int
 	windowStart   time.Time
-	// changedAt is when the present percent was first observed.
-	changedAt time.Time
 }
 
 // observe records the progress at a moment.
@@ -38,21 +36,10 @@
 		p.windowPercent = percent
 		p.windowStart = now
 	}
-	if percent != p.percent || p.changedAt.IsZero() {
-		p.changedAt = now
-	}
 	p.percent = percent
 	p.observedAt = now
 }
 
-// stalled returns for how long the observations have shown no progress.
-func (p *runProgress) stalled() time.Duration { return p.observedAt.Sub(p.changedAt) }
-
-// worked estimates how much of an expected run time the run has done.
-func (p *runProgress) worked(expected time.Duration) time.Duration {
-	return expected * time.Duration(p.percent) / fullPercent
-}
-
 // remaining estimates how much longer a run takes, from its average speed since it
 // started. It returns false if the progress is too small to tell.
 func (p *runProgress) remaining(begun, now time.Time) (time.Duration, bool) {
--- a/leader/stop.go
+++ b/leader/stop.go
@@ -60,7 +60,12 @@
 	j.preemptions++
 	t.leader.ports.Meter.Preempted()
 	r.stopping = true
-	t.log.WithFields(r.logFields(now)).WithFields(logrus.Fields{
+	t.log.WithFields(logrus.Fields{
+		"task":             r.task.String(),
+		"attempt":          r.attempt,
+		"agent":            r.agent.addr,
+		"ran_ms":           now.Sub(r.startedAt).Milliseconds(),
+		"weight":           coreEquivalents(r.size),
 		"preempted_for":    u.Job,
 		"requested":        fmt.Sprintf("%dx%v", len(u.Tasks), u.Step.Size),
 		"within_guarantee": u.WithinGuarantee,
@@ -70,32 +75,18 @@
 
 // vacate stops a run because a worker of its group leaves before it ends.
 func (t *term) vacate(r *run, now time.Time) {
-	t.log.WithFields(r.logFields(now)).WithField("leaves_in_ms", r.agent.leavesAt.Sub(now).Milliseconds()).Info("run_vacated")
 	r.stopping = true
+	t.log.WithFields(logrus.Fields{
+		"task":         r.task.String(),
+		"attempt":      r.attempt,
+		"agent":        r.agent.addr,
+		"ran_ms":       now.Sub(r.startedAt).Milliseconds(),
+		"weight":       coreEquivalents(r.size),
+		"leaves_in_ms": r.agent.leavesAt.Sub(now).Milliseconds(),
+	}).Info("run_vacated")
 	t.stopRun(r, now)
 }
 
-// restartStalled stops a run because a run of its group stands still.
-func (t *term) restartStalled(r *run, now time.Time) {
-	t.log.WithFields(r.logFields(now)).WithField("stalled_ms", r.progress.stalled().Milliseconds()).Info("run_restarted")
-	if r.progress.stalled() >= alloc.MinStall {
-		r.agent.failures.recordFailure(r.task, now)
-	}
-	r.stopping = true
-	t.stopRun(r, now)
-}
-
-// logFields describes a run that is stopped before its end.
-func (r *run) logFields(now time.Time) logrus.Fields {
-	return logrus.Fields{
-		"task":    r.task.String(),
-		"attempt": r.attempt,
-		"agent":   r.agent.addr,
-		"ran_ms":  now.Sub(r.startedAt).Milliseconds(),
-		"weight":  coreEquivalents(r.size),
-	}
-}
-
 func (t *term) stopRun(r *run, now time.Time) {
 	if r.phase != running || r.agent.peer == nil || now.Sub(r.stopSentAt) < stopRetryInterval {
 		return
--- a/leader/term.go
+++ b/leader/term.go
@@ -55,8 +55,6 @@
 	// withinGuarantee means that the job is covered by its customer's guarantee.
 	withinGuarantee bool
 	preemptions     int
-	// restarts counts how often tasks of the job were restarted because they stood still.
-	restarts int
 	// lastActive is when the job last had a run.
 	lastActive time.Time
 	// endedAt is when this term found that nothing of the job is left to do: it has
