--- a/agent/stream.go
+++ b/agent/stream.go
@@ -19,9 +19,8 @@
 	chunkBytes = 32 << 10
 	// maxKeptBodyBytes is the size up to which a response body is kept for replay to
 	// later requests with the same idempotency key.
-	maxKeptBodyBytes  = 64 << 10
-	busyRetryAfter    = 200 * time.Millisecond
-	leavingRetryAfter = time.Second
+	maxKeptBodyBytes = 64 << 10
+	busyRetryAfter   = 200 * time.Millisecond
 )
 
 // requestStream is a connection from an entry that carries requests, one after another.
