Start no goroutine once the end of the others is awaited; give up the role when late

Cause: since attempts to confirm the configuration outlive a request, and call the store while the process shuts down; requests in progress could do so before. A process that ends would have crashed. Change: pause.Group refuses goroutines once it is closed; used by relay and intake, which also keep no connection that was dialled meanwhile (their end would wait for it for ever). Race in a test's own fake mended (go test -race ./intake).

Also: a scheduler that has been late by more than a second for 1.5 s gives the role up, if there is another candidate and its term has lasted for 10 s, and leaves it to others for 10 s.

--- a/intake/confirm.go
+++ b/intake/confirm.go
@@ -43,6 +43,8 @@
 // errNoAnswerYet is returned to requests that do not wait for the end of an attempt.
 var errNoAnswerYet = errors.New("the store has not answered yet")
 
+var errShuttingDown = errors.New("this process is shutting down")
+
 // Ready returns nil when requests can be answered, or the reason why not.
 func (d *Intake) Ready() error {
 	d.mu.Lock()
@@ -142,8 +144,7 @@
 		begun: time.Now(),
 		done:  make(chan struct{}),
 	}
-	d.attempt = a
-	d.group.Go(func() {
+	started := d.group.Go(func() {
 		c, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 		defer cancel()
 		a.err = d.confirmNow(c)
@@ -152,6 +153,12 @@
 		d.mu.Unlock()
 		close(a.done)
 	})
+	if !started {
+		a.err = errShuttingDown
+		close(a.done)
+		return a
+	}
+	d.attempt = a
 	return a
 }
 
--- a/intake/confirm_test.go
+++ b/intake/confirm_test.go
@@ -113,14 +113,14 @@
 		c, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go d.ConfirmLoop(c)
-		s.unanswering = true
+		s.unanswering.Store(true)
 		time.Sleep(2 * intake.ConfirmAge)
 		assertRefusedWithin(t, d, 500*time.Millisecond)
 		for range 3 {
 			time.Sleep(callerTimeout / 2)
 			assertRefusedWithin(t, d, 200*time.Millisecond)
 		}
-		s.unanswering = false
+		s.unanswering.Store(false)
 		time.Sleep(storeCallTime + 400*time.Millisecond)
 		if err := submit(d); err != nil {
 			t.Errorf("refused although the store answers again: %v", err)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -28,6 +28,7 @@
 	"hemlockhinge/leader"
 	"hemlockhinge/meter"
 	"hemlockhinge/mirror"
+	"hemlockhinge/pause"
 	"hemlockhinge/policy"
 	"hemlockhinge/store"
 	"hemlockhinge/wire"
@@ -144,7 +145,7 @@
 	storeDownSince time.Time
 	// attempt is the attempt to confirm the configuration that is in progress, or nil.
 	attempt *confirmAttempt
-	group   sync.WaitGroup
+	group   pause.Group
 }
 
 // New returns an Intake. The caller must call Run.
@@ -171,7 +172,7 @@
 func (d *Intake) Run(c context.Context) {
 	d.objects.Run(c)
 	d.scheduler.close()
-	d.group.Wait()
+	d.group.Close()
 }
 
 // apply applies a change of one of the operators' objects.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +33,7 @@
 // time out.
 type flakyStore struct {
 	store.Committer
-	unanswering bool
+	unanswering atomic.Bool
 	refusing    bool
 	commits     int
 }
@@ -41,7 +42,7 @@
 	switch {
 	case s.refusing:
 		return store.NewUnavailableError(op, "", true, errors.New("status 503"))
-	case s.unanswering:
+	case s.unanswering.Load():
 		select {
 		case <-c.Done():
 		case <-time.After(storeCallTime):
@@ -144,7 +145,7 @@
 			t.Fatalf("error %v, %d writes while the store answers", err, s.commits)
 		}
 		time.Sleep(storeCallTime)
-		s.unanswering = true
+		s.unanswering.Store(true)
 		assertRefused(t, submit(d), http.StatusServiceUnavailable, time.Second)
 		if s.commits != 1 {
 			t.Errorf("%d writes were sent to a store that does not answer", s.commits-1)
--- a/intake/query.go
+++ b/intake/query.go
@@ -8,6 +8,7 @@
 
 	"hemlockhinge/graph"
 	"hemlockhinge/leader"
+	"hemlockhinge/pause"
 	"hemlockhinge/store"
 	"hemlockhinge/wire"
 )
@@ -27,21 +28,24 @@
 	net  wire.Network
 	role *leader.Role
 
-	group sync.WaitGroup
+	group pause.Group
 	mu    sync.Mutex
 	addr  string
 	peer  *wire.Peer
+	// closed is set by close; no connection is kept after that.
+	closed bool
 }
 
 // close closes the connection and waits for its goroutines.
 func (q *schedulerClient) close() {
 	q.mu.Lock()
+	q.closed = true
 	if q.peer != nil {
 		q.peer.Close()
 		q.peer = nil
 	}
 	q.mu.Unlock()
-	q.group.Wait()
+	q.group.Close()
 }
 
 // connect returns a connection to the last known scheduler.
@@ -60,9 +64,16 @@
 		return nil, err
 	}
 	p := wire.NewPeer(n, wire.RefuseCalls)
-	q.group.Go(func() { _ = p.Run(context.Background()) })
+	if !q.group.Go(func() { _ = p.Run(context.Background()) }) {
+		p.Close()
+		return nil, errShuttingDown
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.closed {
+		p.Close()
+		return nil, errShuttingDown
+	}
 	if q.peer != nil {
 		q.peer.Close()
 	}
--- a/leader/election.go
+++ b/leader/election.go
@@ -33,8 +33,8 @@
 	store store.Committer
 	log   *logrus.Entry
 	self  holder
-	// fitter returns how many other candidates have more processor capacity.
-	fitter func() int
+	// candidates is as in Ports.
+	candidates func() (others, fitter int)
 
 	mu       sync.Mutex
 	holder   holder
@@ -100,7 +100,7 @@
 // more the more workers there are, and entries may differ much in capacity.
 func (r *Role) precedence() time.Duration {
 	d := time.Duration(mathrand.Int64N(int64(precedenceJitter)))
-	if r.fitter() > 0 {
+	if _, fitter := r.candidates(); fitter > 0 {
 		d += precedenceDelay
 	}
 	return d
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -42,9 +42,9 @@
 	Log       *logrus.Entry
 	Meter     *meter.Meter
 	WallClock func() time.Time
-	// FitterCandidates returns how many other candidates for the role have more
-	// processor capacity; nil if none has.
-	FitterCandidates func() int
+	// Candidates returns how many other candidates for the role there are, and how many
+	// of them have more processor capacity; nil if there are none.
+	Candidates func() (others, fitter int)
 }
 
 // Settings configure a scheduler.
@@ -105,17 +105,17 @@
 	if p.WallClock == nil {
 		p.WallClock = time.Now
 	}
-	if p.FitterCandidates == nil {
-		p.FitterCandidates = func() int { return 0 }
+	if p.Candidates == nil {
+		p.Candidates = func() (others, fitter int) { return 0, 0 }
 	}
 	return &Leader{
 		ports:    p,
 		settings: s,
 		resigned: make(chan struct{}),
 		role: &Role{
-			store:  p.Store,
-			log:    p.Log,
-			fitter: p.FitterCandidates,
+			store:      p.Store,
+			log:        p.Log,
+			candidates: p.Candidates,
 			self: holder{
 				ID:   s.ID,
 				Addr: s.Addr,
@@ -191,9 +191,12 @@
 	l.mu.Lock()
 	l.term = nil
 	l.mu.Unlock()
-	if c.Err() != nil {
+	if c.Err() != nil || t.abandoned.Load() {
 		l.handOver(t, g)
 	}
+	if t.abandoned.Load() {
+		pause.For(c, abandonedPause)
+	}
 	l.ports.Log.WithField("epoch", g.epoch).Info("term_ended")
 }
 
--- a/leader/pace.go
+++ b/leader/pace.go
@@ -20,6 +20,13 @@
 	lagProbeInterval = 100 * time.Millisecond
 	// toleratedLag is the lag up to which timeouts hold as they are.
 	toleratedLag = 50 * time.Millisecond
+	// abandonAfter is how long a scheduler is late before it gives the role up, and
+	// minTermLength how long it holds the role before that: where every process is late,
+	// each change of the scheduler would only add to the load.
+	abandonAfter  = 1500 * time.Millisecond
+	minTermLength = 10 * time.Second
+	// abandonedPause is for how long a process that gave the role up leaves it to others.
+	abandonedPause = 10 * time.Second
 	// lagSteps is how many times a call and its reply wait for this process.
 	lagSteps = 4
 )
@@ -28,7 +35,7 @@
 func (t *term) passLoop(c context.Context) {
 	k := time.NewTicker(passInterval)
 	defer k.Stop()
-	late := false
+	var lateSince time.Time
 	for {
 		select {
 		case <-c.Done():
@@ -37,10 +44,18 @@
 		case <-k.C:
 		}
 		d := t.timedPass()
-		lag := max(d, t.lag())
-		if late != (lag > lateness) {
-			late = !late
+		late := max(d, t.lag()) > lateness
+		if late == lateSince.IsZero() {
 			t.log.WithFields(logrus.Fields{"late": late, "pass_ms": d.Milliseconds(), "timer_lag_ms": t.lag().Milliseconds()}).Warn("scheduler_lateness_changed")
+			lateSince = time.Time{}
+			if late {
+				lateSince = time.Now()
+			}
+		}
+		if late && t.shouldAbandon(lateSince) {
+			t.log.WithField("late_ms", time.Since(lateSince).Milliseconds()).Warn("role_abandoned")
+			t.abandoned.Store(true)
+			t.cancel()
 		}
 		if !pause.For(c, passRest*d) {
 			return
@@ -48,6 +63,13 @@
 	}
 }
 
+// shouldAbandon reports whether a scheduler that has been late since a time gives the role
+// up. Another candidate then takes it over in order, while agents keep what runs.
+func (t *term) shouldAbandon(lateSince time.Time) bool {
+	others, _ := t.leader.ports.Candidates()
+	return others > 0 && time.Since(lateSince) > abandonAfter && time.Since(t.startedAt) > minTermLength
+}
+
 // timedPass runs a scheduling pass if there is anything to schedule yet, and returns how
 // long it took, with the wait for the lock.
 func (t *term) timedPass() time.Duration {
--- a/leader/term.go
+++ b/leader/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -153,6 +154,8 @@
 	ctx         context.Context //nolint:containedctx // ends with the term
 	goroutines  sync.WaitGroup
 	lateTimers  lagProbe
+	// abandoned is set when the term ends because its process is late.
+	abandoned atomic.Bool
 	// inputs follows the jobs, the cancellations and the agents in the store.
 	inputs mirror.Mirror
 }
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -67,9 +67,16 @@
 		return nil, err
 	}
 	p := wire.NewPeer(n, wire.RefuseCalls)
-	s.goroutines.Go(func() { _ = p.Run(context.Background()) })
+	if !s.goroutines.Go(func() { _ = p.Run(context.Background()) }) {
+		p.Close()
+		return nil, errEnded
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.ended {
+		p.Close()
+		return nil, errEnded
+	}
 	s.peer = p
 	s.peerAddr = addr
 	return p, nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,8 +52,10 @@
 	network wire.Network
 	log     *logrus.Entry
 
-	goroutines sync.WaitGroup
+	goroutines pause.Group
 	mu         sync.Mutex
+	// ended is set when Run ends; no connection is kept after that.
+	ended bool
 	// selfAddr is the address under which this process is registered.
 	selfAddr string
 	// peerAddrs are the other entries' addresses, in the order in which they are tried.
@@ -93,11 +95,12 @@
 	}
 	m.Run(c)
 	s.mu.Lock()
+	s.ended = true
 	if s.peer != nil {
 		s.peer.Close()
 	}
 	s.mu.Unlock()
-	s.goroutines.Wait()
+	s.goroutines.Close()
 }
 
 // register writes this process's registration, and retries until it succeeds or c ends.
@@ -146,19 +149,21 @@
 	s.peerMilliCPU[a] = n
 }
 
-// PeersAbove returns how many other entries are registered with more processor capacity.
-func (s *Store) PeersAbove(milliCPU int) int {
+// Peers returns how many other entries are registered, and how many of them with more
+// processor capacity.
+func (s *Store) Peers(milliCPU int) (others, fitter int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
 	for _, v := range s.peerMilliCPU {
 		if v > milliCPU {
-			n++
+			fitter++
 		}
 	}
-	return n
+	return len(s.peerMilliCPU), fitter
 }
 
+var errEnded = errors.New("this process is shutting down")
+
 // answer is the outcome of a call, made directly or through a peer.
 type answer struct {
 	item     store.Item
@@ -235,7 +240,9 @@
 	c, cancel := context.WithCancel(c)
 	defer cancel()
 	direct := make(chan answer, 1)
-	s.goroutines.Go(func() { direct <- directCall(c) })
+	if !s.goroutines.Go(func() { direct <- directCall(c) }) {
+		return directCall(c)
+	}
 	wait := hedgeDelay
 	if s.directFailedRecently() {
 		wait = 0
@@ -254,7 +261,11 @@
 	case <-t.C:
 	}
 	viaPeer := make(chan answer, 1)
-	s.goroutines.Go(func() { viaPeer <- s.callViaPeer(c, m) })
+	if !s.goroutines.Go(func() { viaPeer <- s.callViaPeer(c, m) }) {
+		viaPeer <- answer{
+			err: unavailable(errEnded, true),
+		}
+	}
 	if first != nil {
 		return mergeAnswers(*first, <-viaPeer)
 	}
