--- a/leader/stop.go
+++ b/leader/stop.go
@@ -60,12 +60,7 @@
 	j.preemptions++
 	t.leader.ports.Meter.Preempted()
 	r.stopping = true
-	t.log.WithFields(logrus.Fields{
-		"task":             r.task.String(),
-		"attempt":          r.attempt,
-		"agent":            r.agent.addr,
-		"ran_ms":           now.Sub(r.startedAt).Milliseconds(),
-		"weight":           coreEquivalents(r.size),
+	t.log.WithFields(r.logFields(now)).WithFields(logrus.Fields{
 		"preempted_for":    u.Job,
 		"requested":        fmt.Sprintf("%dx%v", len(u.Tasks), u.Step.Size),
 		"within_guarantee": u.WithinGuarantee,
@@ -75,18 +70,22 @@
 
 // vacate stops a run because a worker of its group leaves before it ends.
 func (t *term) vacate(r *run, now time.Time) {
+	t.log.WithFields(r.logFields(now)).WithField("leaves_in_ms", r.agent.leavesAt.Sub(now).Milliseconds()).Info("run_vacated")
 	r.stopping = true
-	t.log.WithFields(logrus.Fields{
-		"task":         r.task.String(),
-		"attempt":      r.attempt,
-		"agent":        r.agent.addr,
-		"ran_ms":       now.Sub(r.startedAt).Milliseconds(),
-		"weight":       coreEquivalents(r.size),
-		"leaves_in_ms": r.agent.leavesAt.Sub(now).Milliseconds(),
-	}).Info("run_vacated")
 	t.stopRun(r, now)
 }
 
+// logFields describes a run that is stopped before its end.
+func (r *run) logFields(now time.Time) logrus.Fields {
+	return logrus.Fields{
+		"task":    r.task.String(),
+		"attempt": r.attempt,
+		"agent":   r.agent.addr,
+		"ran_ms":  now.Sub(r.startedAt).Milliseconds(),
+		"weight":  coreEquivalents(r.size),
+	}
+}
+
 func (t *term) stopRun(r *run, now time.Time) {
 	if r.phase != running || r.agent.peer == nil || now.Sub(r.stopSentAt) < stopRetryInterval {
 		return
