Stop what cannot end on a leaving worker before it leaves, also without room elsewhere

Cause: a worker that leaves at short notice vanishes with its agent. What it still ran blocks its job until the leases there have expired (8.7 to 12.7 s), while a run that was stopped can start elsewhere at once. Change: the last moment counts for groups without checkpoints too; a run must end 0.3 s before the worker leaves to count as ending in time.

--- a/alloc/vacate.go
+++ b/alloc/vacate.go
@@ -6,6 +6,9 @@
 	"hemlockhinge/graph"
 )
 
+// endMargin is the time in which the end of a run is listed and reported.
+const endMargin = 300 * time.Millisecond
+
 // Vacate returns the groups to stop now because a worker that they run on leaves before
 // they end. It answers this pattern: workers are drained one after the other, or at short
 // notice, under tasks that run longer than the notice, and everything that such a worker
@@ -14,8 +17,10 @@
 // A group that saves checkpoints runs on until stopTime, the time that a stop takes,
 // before the first of its workers leaves: the checkpoint that it saves when it is stopped
 // then loses nothing. Any other group loses all its work in either case, so it is stopped
-// as soon as there is room to start it elsewhere, before it does more work in vain. A
-// group that is expected to end in time runs on.
+// as soon as there is room to start it elsewhere, before it does more work in vain, and
+// stopTime before the worker leaves at the latest: what vanishes with a worker and its
+// agent cannot start elsewhere before its leases have expired. A group that is expected to
+// end in time runs on.
 //
 // Vacate updates the workers for the room that it finds and marks the groups that it
 // stops.
@@ -24,10 +29,10 @@
 	for i := range g {
 		v := &g[i]
 		left, leaving := v.timeLeft(w)
-		if !leaving || v.Stopping || v.NonPreemptible || v.ExpectedRemaining <= left {
+		if !leaving || v.Stopping || v.NonPreemptible || v.ExpectedRemaining+endMargin <= left {
 			continue
 		}
-		if v.Checkpoints && left > stopTime || !v.Checkpoints && !v.takeRoom(w) {
+		if left > stopTime && (v.Checkpoints || !v.takeRoom(w)) {
 			continue
 		}
 		v.Stopping = true
