Stop early on a leaving worker only what is expected to run for far longer

Cause: how long a run still takes is known badly early on (one percent of progress, and the wait for a gang, make much of it), and stopping one without checkpoints in error loses all of its work. Change: early, a group is stopped only if it is expected to run for twice as long as its worker stays; otherwise at the last moment.

--- a/alloc/vacate.go
+++ b/alloc/vacate.go
@@ -6,8 +6,13 @@
 	"hemlockhinge/graph"
 )
 
-// endMargin is the time in which the end of a run is listed and reported.
-const endMargin = 300 * time.Millisecond
+const (
+	// endMargin is the time in which the end of a run is listed and reported.
+	endMargin = 300 * time.Millisecond
+	// earlyFactor times the time that a worker stays is what a group must still be
+	// expected to run for to be stopped early.
+	earlyFactor = 2
+)
 
 // Vacate returns the groups to stop now because a worker that they run on leaves before
 // they end. It answers this pattern: workers are drained one after the other, or at short
@@ -16,11 +21,12 @@
 //
 // A group that saves checkpoints runs on until stopTime, the time that a stop takes,
 // before the first of its workers leaves: the checkpoint that it saves when it is stopped
-// then loses nothing. Any other group loses all its work in either case, so it is stopped
-// as soon as there is room to start it elsewhere, before it does more work in vain, and
-// stopTime before the worker leaves at the latest: what vanishes with a worker and its
-// agent cannot start elsewhere before its leases have expired. A group that is expected to
-// end in time runs on.
+// then loses nothing. Any other group loses all its work, so that stopping it in error is
+// dear: early, it is stopped only if it is expected to run for far longer than its worker
+// stays, and if there is room to start it elsewhere. Otherwise it is stopped stopTime
+// before the worker leaves: what vanishes with a worker and its agent cannot start
+// elsewhere before its leases have expired. A group that is expected to end in time runs
+// on.
 //
 // Vacate updates the workers for the room that it finds and marks the groups that it
 // stops.
@@ -32,7 +38,8 @@
 		if !leaving || v.Stopping || v.NonPreemptible || v.ExpectedRemaining+endMargin <= left {
 			continue
 		}
-		if left > stopTime && (v.Checkpoints || !v.takeRoom(w)) {
+		early := left > stopTime
+		if early && (v.Checkpoints || v.ExpectedRemaining < earlyFactor*left || !v.takeRoom(w)) {
 			continue
 		}
 		v.Stopping = true
--- a/alloc/vacate_test.go
+++ b/alloc/vacate_test.go
@@ -40,6 +40,7 @@
 	}{
 		{"ends in time", 4 * time.Second, 8, []Group{group(3*time.Second, false)}, nil},
 		{"would be lost, room elsewhere", 4 * time.Second, 8, []Group{group(9*time.Second, false)}, []int{0}},
+		{"may still end in time", 4 * time.Second, 8, []Group{group(6*time.Second, false)}, nil},
 		{"would be lost, no room elsewhere", 4 * time.Second, 3, []Group{group(9*time.Second, false)}, nil},
 		{"would be lost, no room elsewhere, no time left", stopTime, 3, []Group{group(9*time.Second, false)}, []int{0}},
 		{"ends in time, no time left for more", stopTime, 3, []Group{group(stopTime-endMargin, false)}, nil},
