--- a/leader/election.go
+++ b/leader/election.go
@@ -99,7 +99,7 @@
 // precedence returns how long to leave a free role to other candidates. Scheduling costs
 // more the more workers there are, and entries may differ much in capacity.
 func (r *Role) precedence() time.Duration {
-	d := time.Duration(mathrand.Int64N(int64(precedenceJitter)))
+	d := time.Duration(mathrand.Int64N(int64(precedenceJitter))) //nolint:gosec // no secret, it only spreads them
 	if _, fitter := r.candidates(); fitter > 0 {
 		d += precedenceDelay
 	}
--- a/leader/pace.go
+++ b/leader/pace.go
@@ -26,7 +26,8 @@
 	abandonAfter  = 1500 * time.Millisecond
 	minTermLength = 10 * time.Second
 	// abandonedPause is for how long a process that gave the role up leaves it to others.
-	abandonedPause = 10 * time.Second
+	// If all of them are lost, it takes the role again.
+	abandonedPause = time.Second
 	// lagSteps is how many times a call and its reply wait for this process.
 	lagSteps = 4
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// Run registers this process's address and processor capacity, and keeps the list of the other entries'
-// addresses up to date until c ends.
+// Run registers this process's address and processor capacity, and keeps the list of the
+// other entries up to date until c ends.
 func (s *Store) Run(c context.Context, addr string, milliCPU int) {
 	s.mu.Lock()
 	s.selfAddr = addr
