--- a/leader/election.go
+++ b/leader/election.go
@@ -34,7 +34,7 @@
 	log   *logrus.Entry
 	self  holder
 	// candidates is as in Ports.
-	candidates func() (others, fitter int)
+	candidates func() (others, larger int)
 
 	mu       sync.Mutex
 	holder   holder
@@ -100,7 +100,7 @@
 // more the more workers there are, and entries may differ much in capacity.
 func (r *Role) precedence() time.Duration {
 	d := time.Duration(mathrand.Int64N(int64(precedenceJitter))) //nolint:gosec // no secret, it only spreads them
-	if _, fitter := r.candidates(); fitter > 0 {
+	if _, larger := r.candidates(); larger > 0 {
 		d += precedenceDelay
 	}
 	return d
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -44,7 +44,7 @@
 	WallClock func() time.Time
 	// Candidates returns how many other candidates for the role there are, and how many
 	// of them have more processor capacity; nil if there are none.
-	Candidates func() (others, fitter int)
+	Candidates func() (others, larger int)
 }
 
 // Settings configure a scheduler.
@@ -106,7 +106,7 @@
 		p.WallClock = time.Now
 	}
 	if p.Candidates == nil {
-		p.Candidates = func() (others, fitter int) { return 0, 0 }
+		p.Candidates = func() (others, larger int) { return 0, 0 }
 	}
 	return &Leader{
 		ports:    p,
--- a/leader/pace_test.go
+++ b/leader/pace_test.go
@@ -28,7 +28,7 @@
 		t.Run(v.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newTestTerm()
-				s.leader.ports.Candidates = func() (others, fitter int) { return v.others, 0 }
+				s.leader.ports.Candidates = func() (others, larger int) { return v.others, 0 }
 				c, cancel := context.WithCancel(context.Background())
 				s.cancel = cancel
 				go s.passLoop(c)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -151,15 +151,15 @@
 
 // Peers returns how many other entries are registered, and how many of them with more
 // processor capacity.
-func (s *Store) Peers(milliCPU int) (others, fitter int) {
+func (s *Store) Peers(milliCPU int) (others, larger int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, v := range s.peerMilliCPU {
 		if v > milliCPU {
-			fitter++
+			larger++
 		}
 	}
-	return len(s.peerMilliCPU), fitter
+	return len(s.peerMilliCPU), larger
 }
 
 var errEnded = errors.New("this process is shutting down")
