--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -150,7 +150,7 @@
 			if d.start(p, v) {
 				continue
 			}
-			unplaceable[z] = v.RunningPerWorker == nil && v.AllowedWorkers == nil
+			unplaceable[z] = !v.boundToWorkers()
 		}
 		if v.mayPreempt() && d.preempt(p, v) {
 			continue
@@ -242,6 +242,10 @@
 	}
 }
 
+// boundToWorkers reports whether requirements do not tell all that decides where the unit
+// fits, since particular workers may run its tasks or already do.
+func (u *Unit) boundToWorkers() bool { return u.RunningPerWorker != nil || u.AllowedWorkers != nil }
+
 // allocate subtracts the tasks of a unit from the free capacity of the workers.
 func allocate(w []Worker, u *Unit, at []int) {
 	for _, k := range at {
--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -12,7 +12,7 @@
 type preemptor struct {
 	workers []Worker
 	groups  []Group
-	// sharesOn lists what groups occupy on each worker.
+	// sharesOn lists what groups occupy on each worker; nil until the first plan.
 	sharesOn [][]share
 	// changes counts the changes of each worker's capacity and groups.
 	changes []int
@@ -53,25 +53,28 @@
 }
 
 func newPreemptor(w []Worker, g []Group) *preemptor {
-	p := preemptor{
-		workers:  w,
-		groups:   g,
-		sharesOn: make([][]share, len(w)),
-		changes:  make([]int, len(w)),
-		failed:   map[preemptionKind][]failedPreemption{},
+	return &preemptor{
+		workers: w,
+		groups:  g,
+		changes: make([]int, len(w)),
+		failed:  map[preemptionKind][]failedPreemption{},
 	}
-	for i := range g {
-		if g[i].NonPreemptible || g[i].Stopping {
+}
+
+// indexGroups fills sharesOn. Most passes preempt nothing and need no index.
+func (p *preemptor) indexGroups() {
+	p.sharesOn = make([][]share, len(p.workers))
+	for i, g := range p.groups {
+		if g.NonPreemptible || g.Stopping {
 			continue
 		}
-		for n, z := range g[i].Usage {
+		for n, z := range g.Usage {
 			p.sharesOn[n] = append(p.sharesOn[n], share{
 				group: i,
 				size:  z,
 			})
 		}
 	}
-	return &p
 }
 
 // workersChanged is called when capacity of these workers was allocated.
@@ -83,7 +86,7 @@
 
 // knownToFail reports whether a unit that asked for no less had no acceptable plan.
 func (p *preemptor) knownToFail(u *Unit) bool {
-	if u.RunningPerWorker != nil || u.AllowedWorkers != nil {
+	if u.boundToWorkers() {
 		return false
 	}
 	return slices.ContainsFunc(p.failed[kindOf(u)], func(f failedPreemption) bool {
@@ -109,6 +112,9 @@
 // plan returns the cheapest plan it finds by which a unit can start. For a one-rack
 // gang, it prefers the cheapest plan within a rack.
 func (p *preemptor) plan(u *Unit) (preemptionPlan, bool) {
+	if p.sharesOn == nil {
+		p.indexGroups()
+	}
 	base := p.optionsFor(u)
 	if u.Step.OneRack && len(u.Tasks) > 1 {
 		best, found := preemptionPlan{}, false
@@ -142,7 +148,7 @@
 // optionsFor returns the options of all workers that may run tasks of a unit, before any
 // group is stopped for it.
 func (p *preemptor) optionsFor(u *Unit) []option {
-	if u.RunningPerWorker != nil || u.AllowedWorkers != nil {
+	if u.boundToWorkers() {
 		return p.allOptions(u)
 	}
 	if k := kindOf(u); p.last.options == nil || k != p.last.kind || u.Slack != p.last.slack {
--- a/alloc/preempt.go
+++ b/alloc/preempt.go
@@ -17,12 +17,10 @@
 	Borrowed bool
 	// NonPreemptible groups are never preempted.
 	NonPreemptible bool
-	// Service, Step and Tasks tell what it takes to start the group elsewhere. Checkpoints
-	// is set if the group resumes from a checkpoint there.
-	Service     string
-	Step        *graph.Step
-	Tasks       int
-	Checkpoints bool
+	// Service, Step and Tasks tell what it takes to start the group elsewhere.
+	Service string
+	Step    *graph.Step
+	Tasks   int
 	// Cost is the work, in core-seconds, that is lost if the group is stopped now.
 	Cost float64
 	// Stopping is set once the group has been told to stop; what it frees is then
--- a/alloc/vacate.go
+++ b/alloc/vacate.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		early := left > stopTime
-		if early && (v.Checkpoints || v.ExpectedRemaining < earlyFactor*left || !v.takeRoom(w)) {
+		if early && (v.Step.Checkpoints || v.ExpectedRemaining < earlyFactor*left || !v.takeRoom(w)) {
 			continue
 		}
 		v.Stopping = true
@@ -63,9 +63,6 @@
 // takeRoom allocates free capacity for the tasks of the group, and reports whether there
 // is enough.
 func (g *Group) takeRoom(w []Worker) bool {
-	if g.Step == nil {
-		return false
-	}
 	u := Unit{
 		Service: g.Service,
 		Step:    g.Step,
--- a/alloc/vacate_test.go
+++ b/alloc/vacate_test.go
@@ -12,23 +12,19 @@
 // beside one that stays.
 func TestVacate(t *testing.T) {
 	const stopTime = time.Second
-	step := graph.Step{
-		Count: 2,
-		Size:  graph.Size{Accelerators: 4},
-	}
+	size := graph.Size{Accelerators: 4}
 	group := func(remaining time.Duration, checkpoints bool) Group {
 		return Group{
-			Usage:             map[int]graph.Size{0: step.Size},
+			Usage:             map[int]graph.Size{0: size},
 			Service:           "s",
-			Step:              &step,
+			Step:              &graph.Step{Count: 2, Size: size, Checkpoints: checkpoints},
 			Tasks:             1,
-			Checkpoints:       checkpoints,
 			ExpectedRemaining: remaining,
 		}
 	}
 	gang := group(9*time.Second, false)
 	gang.Tasks = 2
-	gang.Usage = map[int]graph.Size{0: step.Size, 1: step.Size}
+	gang.Usage = map[int]graph.Size{0: size, 1: size}
 	lasting := group(9*time.Second, true)
 	lasting.NonPreemptible = true
 	cases := []struct {
--- a/intake/confirm.go
+++ b/intake/confirm.go
@@ -43,8 +43,6 @@
 // errNoAnswerYet is returned to requests that do not wait for the end of an attempt.
 var errNoAnswerYet = errors.New("the store has not answered yet")
 
-var errShuttingDown = errors.New("this process is shutting down")
-
 // Ready returns nil when requests can be answered, or the reason why not.
 func (d *Intake) Ready() error {
 	d.mu.Lock()
@@ -154,7 +152,7 @@
 		close(a.done)
 	})
 	if !started {
-		a.err = errShuttingDown
+		a.err = pause.ErrClosed
 		close(a.done)
 		return a
 	}
--- a/intake/query.go
+++ b/intake/query.go
@@ -32,14 +32,12 @@
 	mu    sync.Mutex
 	addr  string
 	peer  *wire.Peer
-	// closed is set by close; no connection is kept after that.
-	closed bool
 }
 
 // close closes the connection and waits for its goroutines.
 func (q *schedulerClient) close() {
+	q.group.Refuse()
 	q.mu.Lock()
-	q.closed = true
 	if q.peer != nil {
 		q.peer.Close()
 		q.peer = nil
@@ -64,15 +62,11 @@
 		return nil, err
 	}
 	p := wire.NewPeer(n, wire.RefuseCalls)
-	if !q.group.Go(func() { _ = p.Run(context.Background()) }) {
-		p.Close()
-		return nil, errShuttingDown
-	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.closed {
+	if !q.group.Go(func() { _ = p.Run(context.Background()) }) {
 		p.Close()
-		return nil, errShuttingDown
+		return nil, pause.ErrClosed
 	}
 	if q.peer != nil {
 		q.peer.Close()
--- a/leader/order.go
+++ b/leader/order.go
@@ -241,7 +241,6 @@
 			NonPreemptible: s.LongRunning,
 			Service:        j.Service,
 			Step:           s,
-			Checkpoints:    s.Checkpoints,
 		})
 		g.runs = append(g.runs, nil)
 	}
--- a/leader/report.go
+++ b/leader/report.go
@@ -63,7 +63,7 @@
 	capacity     graph.Size
 	lastEnd      int64
 	runs         int
-	unconfirmed  int
+	launching    int
 	unexpected   int
 }
 
@@ -82,7 +82,7 @@
 	}
 	for _, r := range m.runs {
 		if r.phase == launching {
-			v.unconfirmed++
+			v.launching++
 		}
 	}
 	return v
--- a/pause/group.go
+++ b/pause/group.go
@@ -1,6 +1,12 @@
 package pause
 
-import "sync"
+import (
+	"errors"
+	"sync"
+)
+
+// ErrClosed is the error of what could not be started because its Group is closed.
+var ErrClosed = errors.New("this process is shutting down")
 
 // Group runs goroutines until it is closed. Unlike with a sync.WaitGroup, goroutines may be
 // started while another goroutine waits for the end: Go then refuses. The zero value is
@@ -11,7 +17,7 @@
 	group  sync.WaitGroup
 }
 
-// Go runs f in a goroutine, and reports whether it did: it does not after Close.
+// Go runs f in a goroutine, and reports whether it did: it does not after Refuse.
 func (g *Group) Go(f func()) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -22,10 +28,16 @@
 	return true
 }
 
-// Close refuses further goroutines and waits for those that run.
-func (g *Group) Close() {
+// Refuse makes Go refuse from now on. What has to be ended before Close is complete after
+// that.
+func (g *Group) Refuse() {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.closed = true
-	g.mu.Unlock()
+}
+
+// Close refuses further goroutines and waits for those that run.
+func (g *Group) Close() {
+	g.Refuse()
 	g.group.Wait()
 }
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 
+	"hemlockhinge/pause"
 	"hemlockhinge/store"
 	"hemlockhinge/wire"
 )
@@ -67,15 +68,11 @@
 		return nil, err
 	}
 	p := wire.NewPeer(n, wire.RefuseCalls)
-	if !s.goroutines.Go(func() { _ = p.Run(context.Background()) }) {
-		p.Close()
-		return nil, errEnded
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended {
+	if !s.goroutines.Go(func() { _ = p.Run(context.Background()) }) {
 		p.Close()
-		return nil, errEnded
+		return nil, pause.ErrClosed
 	}
 	s.peer = p
 	s.peerAddr = addr
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -54,8 +54,6 @@
 
 	goroutines pause.Group
 	mu         sync.Mutex
-	// ended is set when Run ends; no connection is kept after that.
-	ended bool
 	// selfAddr is the address under which this process is registered.
 	selfAddr string
 	// peerAddrs are the other entries' addresses, in the order in which they are tried.
@@ -94,8 +92,8 @@
 		Log:    s.log,
 	}
 	m.Run(c)
+	s.goroutines.Refuse()
 	s.mu.Lock()
-	s.ended = true
 	if s.peer != nil {
 		s.peer.Close()
 	}
@@ -162,8 +160,6 @@
 	return len(s.peerMilliCPU), larger
 }
 
-var errEnded = errors.New("this process is shutting down")
-
 // answer is the outcome of a call, made directly or through a peer.
 type answer struct {
 	item     store.Item
@@ -263,7 +259,7 @@
 	viaPeer := make(chan answer, 1)
 	if !s.goroutines.Go(func() { viaPeer <- s.callViaPeer(c, m) }) {
 		viaPeer <- answer{
-			err: unavailable(errEnded, true),
+			err: unavailable(pause.ErrClosed, true),
 		}
 	}
 	if first != nil {
