--- a/intake/intake.go
+++ b/intake/intake.go
@@ -139,7 +139,10 @@
 	mu           sync.Mutex
 	config       *policy.Config
 	outOfService map[string]bool
-	confirmedAt  time.Time
+	// confirmedAt is when the configuration was last known to be the newest, and
+	// objectsConfirmedAt is the same for all objects of the operators.
+	confirmedAt        time.Time
+	objectsConfirmedAt time.Time
 	// storeDownSince is when the first of the store's present run of unanswered
 	// or refused calls was made; zero while the store answers.
 	storeDownSince time.Time
@@ -164,6 +167,8 @@
 		Prefix: p.Objects.Prefix(),
 		Apply:  d.apply,
 		Log:    p.Log,
+
+		OnConfirmed: d.confirmObjects,
 	}
 	return d
 }
@@ -200,6 +205,17 @@
 	d.publish()
 }
 
+// confirmObjects records that all changes of the operators' objects that were made before a
+// time are applied.
+func (d *Intake) confirmObjects(at time.Time) {
+	d.mu.Lock()
+	if at.After(d.objectsConfirmedAt) {
+		d.objectsConfirmedAt = at
+	}
+	d.mu.Unlock()
+	d.publish()
+}
+
 // adopt replaces the current configuration by the one in i if that is newer.
 func (d *Intake) adopt(i store.Item) {
 	if v, _ := d.configConfirmedWithin(0); v != nil && v.Revision >= i.Revision {
@@ -229,6 +245,7 @@
 	o := leader.OperatorSettings{
 		Config:       d.config,
 		OutOfService: d.outOfService,
+		ConfirmedAt:  d.objectsConfirmedAt,
 	}
 	d.mu.Unlock()
 	d.ports.Leader.SetOperatorSettings(o)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -68,10 +68,11 @@
 
 // OperatorSettings are the settings that operators change at run time: the configuration,
 // nil until the first one is received, and the failure domains that are out of
-// service.
+// service. All changes that were made before ConfirmedAt are included.
 type OperatorSettings struct {
 	Config       *policy.Config
 	OutOfService map[string]bool
+	ConfirmedAt  time.Time
 }
 
 // NotLeaderError reports that this process does not hold the scheduler's role. It
--- a/leader/pace.go
+++ b/leader/pace.go
@@ -83,6 +83,7 @@
 	t.schedulingPass(time.Now())
 	d := time.Since(begun)
 	t.leader.ports.Meter.Pass(d, t.lag())
+	t.leader.ports.Meter.SettingsAge(time.Since(t.leader.currentOperatorSettings().ConfirmedAt))
 	return d
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -32,6 +32,8 @@
 	linesDropped      prometheus.Counter
 	passSeconds       prometheus.Histogram
 	lagSeconds        prometheus.Histogram
+	settingsAge       prometheus.Gauge
+	orderAgeSeconds   prometheus.Histogram
 }
 
 // New registers a daemon's metrics.
@@ -54,13 +56,19 @@
 		}),
 		passSeconds: plainHistogram("pass_seconds", "Time of scheduling passes, with the wait for the scheduler's lock."),
 		lagSeconds:  plainHistogram("scheduler_lag_seconds", "How late the scheduler's process handles timers."),
+		settingsAge: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace,
+			Name:      "operator_settings_age_seconds",
+			Help:      "Age of the operators' settings at the scheduler's last pass.",
+		}),
+		orderAgeSeconds: plainHistogram("start_order_age_seconds", "Age of the scheduler's start orders when the agent carries them out."),
 		linesDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "log_lines_dropped_total",
 			Help:      "Log lines beyond the budget.",
 		}),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.orderAgeSeconds)
 	return m
 }
 
@@ -133,6 +141,20 @@
 	}
 }
 
+// SettingsAge records how old the operators' settings are by which the scheduler decides.
+func (m *Meter) SettingsAge(d time.Duration) {
+	if m != nil {
+		m.settingsAge.Set(d.Seconds())
+	}
+}
+
+// OrderAge records how old an order to start a task is when the agent carries it out.
+func (m *Meter) OrderAge(d time.Duration) {
+	if m != nil {
+		m.orderAgeSeconds.Observe(d.Seconds())
+	}
+}
+
 // LinesDropped counts dropped log lines.
 func (m *Meter) LinesDropped(n int) {
 	if m != nil {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -42,7 +42,10 @@
 	OnListingRead func()
 	// OnListingApplied, if set, is called after a listing was applied.
 	OnListingApplied func()
-	Log              *logrus.Entry
+	// OnConfirmed, if set, is called after each answer of the store was applied: the mirror
+	// has all changes that were made before the given time.
+	OnConfirmed func(at time.Time)
+	Log         *logrus.Entry
 
 	// revisions holds the last applied revision of each existing key.
 	revisions map[string]uint64
@@ -112,6 +115,7 @@
 func (m *Mirror) watchOnce(c context.Context) error {
 	w, cancel, after := m.beginWatch(c)
 	defer cancel()
+	begun := time.Now()
 	p, err := m.Store.Watch(w, m.Prefix, after)
 	var compacted *store.CompactedError
 	switch {
@@ -128,11 +132,13 @@
 		m.applyNew(i)
 	}
 	m.setRevision(max(after, p.Revision))
+	m.confirmed(begun)
 	return nil
 }
 
 // Relist reads all keys and applies the differences from the known state.
 func (m *Mirror) Relist(c context.Context) error {
+	begun := time.Now()
 	items, revision, err := ListAll(c, m.Store, m.Prefix)
 	if err != nil {
 		return err
@@ -158,9 +164,17 @@
 	if m.OnListingApplied != nil {
 		m.OnListingApplied()
 	}
+	m.confirmed(begun)
 	return nil
 }
 
+// confirmed reports that all changes made before a call to the store began are applied.
+func (m *Mirror) confirmed(begun time.Time) {
+	if m.OnConfirmed != nil {
+		m.OnConfirmed(begun)
+	}
+}
+
 // applyNew calls Apply for a change, unless it is a value that was applied
 // already.
 func (m *Mirror) applyNew(i store.Item) {
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -127,7 +127,9 @@
 		return StartOrder{}, err
 	}
 	r.recordContact(m.LastAgentMS)
-	if age := r.clockMS() - m.LastAgentMS; age > wire.MaxLaunchAge.Milliseconds() {
+	age := r.clockMS() - m.LastAgentMS
+	r.ports.Meter.OrderAge(time.Duration(age) * time.Millisecond)
+	if age > wire.MaxLaunchAge.Milliseconds() {
 		return StartOrder{}, wire.Refuse(wire.CodeExpired, "launch request expired: it is %d ms old", age)
 	}
 	free := r.worker.Capacity.Sub(r.ledger.Used())
