Apply what a poll of the operators' objects shows, not only the configuration

Cause: the scheduler's copy of the operators' objects was kept current by a watch alone. A watch whose connection goes silent waits up to 6 s for its timeout, and nothing repeats it while the other calls of the process succeed. Each entry polls the store for the same changes every 1.2 s, on another connection, but took only the configuration from the answer. Change: mirror.CatchUp applies what a poll shows, in order with the watch and with listings, and repeats a watch that has missed a change. There is one way by which a change comes into the copy. A deletion of an earlier value than the known one is no longer applied, and a listing that is older than what was applied is read again. TestExpect and the new tests also pass under the race detector.

--- a/intake/confirm.go
+++ b/intake/confirm.go
@@ -160,13 +160,12 @@
 	return a
 }
 
-// confirmNow confirms the configuration: the store is asked whether any of the operators'
-// objects has changed since the last change that was applied. That is far cheaper than
-// reading a configuration of a thousand queues, which is done only if the store no longer
-// knows.
+// confirmNow confirms the configuration: the changes of the operators' objects since the last
+// one are applied. That is far cheaper than reading a configuration of a thousand queues,
+// which is done only if the store no longer knows the changes.
 func (d *Intake) confirmNow(c context.Context) error {
 	sentAt := time.Now()
-	err := d.pollObjects(c)
+	err := d.objects.CatchUp(c)
 	var compacted *store.CompactedError
 	if errors.As(err, &compacted) {
 		var i store.Item
@@ -183,25 +182,6 @@
 	return nil
 }
 
-// pollObjects adopts the newest configuration if it has changed since the last change that
-// was applied. Changes of other objects are left to the watch, which keeps their order.
-func (d *Intake) pollObjects(c context.Context) error {
-	revision := d.objects.Revision()
-	if revision == 0 {
-		return &store.CompactedError{}
-	}
-	p, err := d.ports.Store.Poll(c, d.ports.Objects.Prefix(), revision)
-	if err != nil {
-		return err
-	}
-	for _, i := range p.Items {
-		if i.Key == d.ports.Objects.ConfigKey() && !i.Deleted {
-			d.adopt(i)
-		}
-	}
-	return nil
-}
-
 // markConfirmed records that the configuration was the newest one at the given
 // time.
 func (d *Intake) markConfirmed(at time.Time) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -4,10 +4,16 @@
 // If the store has compacted the history that the watch needs, the keys are listed
 // again, and those that have disappeared meanwhile are reported as deleted.
 //
+// A watch may deliver nothing for seconds although there are changes, for example because
+// its connection has gone silent. Whoever depends on a copy that is not older than a bound
+// calls CatchUp, which also asks the store on another connection, and takes the age of the
+// copy from OnConfirmed.
+//
 // # Usage
 //
 //	m := mirror.Mirror{Store: s, Prefix: "job/", Apply: func(i store.Item) { ... }}
-//	m.Run(ctx)
+//	go m.Run(ctx)
+//	err := m.CatchUp(ctx) // all earlier changes are applied now
 package mirror
 
 import (
@@ -33,7 +39,7 @@
 
 // Mirror follows the keys below Prefix.
 type Mirror struct {
-	Store  store.Port
+	Store  store.Committer
 	Prefix string
 	// Apply is called for each change, once and in order.
 	Apply func(store.Item)
@@ -47,6 +53,8 @@
 	OnConfirmed func(at time.Time)
 	Log         *logrus.Entry
 
+	// applying is held while changes are applied or confirmed.
+	applying sync.Mutex
 	// revisions holds the last applied revision of each existing key.
 	revisions map[string]uint64
 	backoff   time.Duration
@@ -111,6 +119,54 @@
 	m.revision = v
 }
 
+// repeatPendingWatch begins the pending watch again.
+func (m *Mirror) repeatPendingWatch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.repeatWatch != nil {
+		m.repeatWatch()
+	}
+}
+
+// CatchUp asks the store for changes and applies those that the watch has not delivered. It
+// returns *store.CompactedError if there was no listing yet, or if the keys must be listed
+// again, which Run then does.
+func (m *Mirror) CatchUp(c context.Context) error {
+	after := m.Revision()
+	if after == 0 {
+		return &store.CompactedError{}
+	}
+	begun := time.Now()
+	p, err := m.Store.Poll(c, m.Prefix, after)
+	var compacted *store.CompactedError
+	if errors.As(err, &compacted) {
+		m.repeatPendingWatch()
+	}
+	if err != nil {
+		return err
+	}
+	if len(p.Items) > 0 {
+		m.applyChanges(p.Items, p.Items[len(p.Items)-1].Revision)
+		m.repeatPendingWatch()
+	}
+	m.confirmed(begun)
+	return nil
+}
+
+// applyChanges applies the changes that are not applied yet, in order, after which all are
+// applied up to a revision.
+func (m *Mirror) applyChanges(items []store.Item, through uint64) {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	applied := m.Revision()
+	for _, i := range items {
+		if i.Revision > applied {
+			m.applyNew(i)
+		}
+	}
+	m.setRevision(max(applied, through))
+}
+
 // watchOnce waits for the next changes and applies them.
 func (m *Mirror) watchOnce(c context.Context) error {
 	w, cancel, after := m.beginWatch(c)
@@ -128,10 +184,7 @@
 	case err != nil:
 		return err
 	}
-	for _, i := range p.Items {
-		m.applyNew(i)
-	}
-	m.setRevision(max(after, p.Revision))
+	m.applyChanges(p.Items, p.Revision)
 	m.confirmed(begun)
 	return nil
 }
@@ -146,6 +199,27 @@
 	if m.OnListingRead != nil {
 		m.OnListingRead()
 	}
+	if !m.applyListing(items, revision) {
+		return errOvertaken
+	}
+	if m.OnListingApplied != nil {
+		m.OnListingApplied()
+	}
+	m.confirmed(begun)
+	return nil
+}
+
+// errOvertaken says that CatchUp has applied later changes than a listing shows.
+var errOvertaken = errors.New("the listing is older than changes that are applied")
+
+// applyListing applies the differences of a listing from the known state, unless later
+// changes are applied already.
+func (m *Mirror) applyListing(items []store.Item, revision uint64) bool {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	if revision < m.Revision() {
+		return false
+	}
 	seen := make(map[string]bool, len(items))
 	for _, i := range items {
 		seen[i.Key] = true
@@ -161,27 +235,25 @@
 		}
 	}
 	m.setRevision(revision)
-	if m.OnListingApplied != nil {
-		m.OnListingApplied()
-	}
-	m.confirmed(begun)
-	return nil
+	return true
 }
 
 // confirmed reports that all changes made before a call to the store began are applied.
 func (m *Mirror) confirmed(begun time.Time) {
+	m.applying.Lock()
+	defer m.applying.Unlock()
 	if m.OnConfirmed != nil {
 		m.OnConfirmed(begun)
 	}
 }
 
-// applyNew calls Apply for a change, unless it is a value that was applied
-// already.
+// applyNew calls Apply for a change, unless it is a value that was applied already, or the
+// deletion of an earlier value than the known one.
 func (m *Mirror) applyNew(i store.Item) {
 	if m.revisions == nil {
 		m.revisions = map[string]uint64{}
 	}
-	if !i.Deleted && m.revisions[i.Key] >= i.Revision {
+	if known := m.revisions[i.Key]; known > i.Revision || (!i.Deleted && known == i.Revision) {
 		return
 	}
 	if i.Deleted {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,9 +19,10 @@
 
 // scriptedStore is a store that returns the given pages and watch answers in turn.
 type scriptedStore struct {
-	store.Port
+	store.Committer
 	lists   []store.Page
 	watches []func() (store.Page, error)
+	polls   []func() (store.Page, error)
 	// watchContext is that of the last watch.
 	watchContext context.Context //nolint:containedctx // for the scripts of watches
 }
@@ -44,6 +46,12 @@
 	return f()
 }
 
+func (s *scriptedStore) Poll(context.Context, string, uint64) (store.Page, error) {
+	f := s.polls[0]
+	s.polls = s.polls[1:]
+	return f()
+}
+
 func put(key string, rev uint64) store.Item {
 	return store.Item{
 		Key:      key,
@@ -162,6 +170,7 @@
 				synctest.Wait()
 				m.Expect(v.revision)
 				time.Sleep(time.Second)
+				synctest.Wait()
 				if w := strings.Join(got, " "); w != v.want {
 					t.Errorf("applied %q, not %q", w, v.want)
 				}
@@ -171,3 +180,115 @@
 		})
 	}
 }
+
+func removal(key string, rev uint64) store.Item {
+	return store.Item{
+		Key:      key,
+		Revision: rev,
+		Deleted:  true,
+	}
+}
+
+// TestCatchUp guards against changes that a silent watch withholds, and against changes that
+// are applied twice or out of order because the watch and a poll deliver the same ones. The
+// watch is silent until the poll is answered; what it delivers then comes after the poll.
+func TestCatchUp(t *testing.T) {
+	outage := &store.UnavailableError{Err: errors.New("out")}
+	cases := []struct {
+		name      string
+		poll      func() (store.Page, error)
+		watch     store.Page
+		want      string
+		confirmed bool
+	}{
+		{"changes", answer(page(5, put("a", 4), put("b", 5)), nil), page(5), "a1 listed a4 b5", true},
+		{"no changes", answer(page(3), nil), page(4, put("a", 4)), "a1 listed a4", true},
+		{"the watch repeats the changes", answer(page(5, removal("a", 4), put("a", 5)), nil), page(6, removal("a", 4), put("a", 5), put("b", 6)), "a1 listed -a a5 b6", true},
+		{"no answer", answer(store.Page{}, outage), page(4, put("a", 4)), "a1 listed a4", false},
+		{"compacted history", answer(store.Page{}, &store.CompactedError{}), page(4, put("a", 4)), "a1 listed a4", false},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { assertCaughtUp(t, v.poll, v.watch, v.want, v.confirmed) })
+		})
+	}
+}
+
+// assertCaughtUp runs a mirror whose first watch ends only when it is repeated or after two
+// seconds. It compares the changes that the mirror reports, and whether CatchUp confirms
+// them.
+func assertCaughtUp(t *testing.T, poll func() (store.Page, error), watch store.Page, want string, confirmed bool) {
+	t.Helper()
+	var got []string
+	var confirmedMS atomic.Int64
+	s := &scriptedStore{
+		lists: []store.Page{page(1, put("a", 1))},
+		polls: []func() (store.Page, error){poll},
+	}
+	s.watches = []func() (store.Page, error){func() (store.Page, error) {
+		s.watches = []func() (store.Page, error){answer(watch, nil)}
+		select {
+		case <-s.watchContext.Done():
+			return store.Page{}, s.watchContext.Err()
+		case <-time.After(2 * time.Second):
+		}
+		return page(1), nil
+	}}
+	m := mirror.Mirror{
+		Store: s,
+		Apply: func(i store.Item) {
+			if i.Deleted {
+				got = append(got, "-"+i.Key)
+				return
+			}
+			got = append(got, fmt.Sprintf("%s%d", i.Key, i.Revision))
+		},
+		OnListingApplied: func() { got = append(got, "listed") },
+		OnConfirmed:      func(at time.Time) { confirmedMS.Store(at.UnixMilli()) },
+		Log:              discardingLog(),
+	}
+	c, cancel := context.WithCancel(context.Background())
+	go m.Run(c)
+	time.Sleep(time.Second)
+	asked := time.Now()
+	err := m.CatchUp(c)
+	synctest.Wait()
+	if ok := err == nil && confirmedMS.Load() == asked.UnixMilli(); ok != confirmed {
+		t.Errorf("error %v, confirmed as of %d; a confirmation as of %d: %t", err, confirmedMS.Load(), asked.UnixMilli(), confirmed)
+	}
+	time.Sleep(5 * time.Second)
+	synctest.Wait()
+	if w := strings.Join(got, " "); w != want {
+		t.Errorf("applied %q, not %q", w, want)
+	}
+	cancel()
+	synctest.Wait()
+}
+
+// TestListingOlderThanCatchUp guards against a listing that brings back what was deleted
+// while it was read.
+func TestListingOlderThanCatchUp(t *testing.T) {
+	var got []string
+	s := &scriptedStore{
+		lists: []store.Page{page(2, put("a", 1)), page(2, put("a", 1)), page(4)},
+		polls: []func() (store.Page, error){answer(page(4, removal("a", 4)), nil)},
+	}
+	m := mirror.Mirror{
+		Store: s,
+		Apply: func(i store.Item) { got = append(got, fmt.Sprintf("%s %t", i.Key, i.Deleted)) },
+		Log:   discardingLog(),
+	}
+	for i, want := range []bool{true, false, true} {
+		if i == 1 {
+			if err := m.CatchUp(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := m.Relist(t.Context()); (err == nil) != want {
+			t.Errorf("listing %d: %v", i, err)
+		}
+	}
+	if w := strings.Join(got, ", "); w != "a false, a true" {
+		t.Errorf("applied %q", w)
+	}
+}
