Start tasks only by operators' settings that were confirmed recently

Cause: the scheduler started tasks by its copy of the operators' objects however old that was. A process that was paused, that is turned away or whose first listing has failed cannot know that a failure domain is out of service. The age counts by the monotonic and the wall clock, since the former stops while a machine is suspended. Objects are confirmed often enough for that, by the age of the last confirmation instead of at fixed times.

--- a/intake/confirm.go
+++ b/intake/confirm.go
@@ -19,6 +19,10 @@
 	ConfirmAge = 1200 * time.Millisecond
 	// downConfirmInterval is the pause between attempts while the store does not answer.
 	downConfirmInterval = 300 * time.Millisecond
+	// minConfirmPause is the shortest pause between two attempts while the store answers.
+	minConfirmPause = 20 * time.Millisecond
+	// confirmsPerAge is how often the objects are confirmed within their maximum age.
+	confirmsPerAge = 2
 	// attemptTimeout bounds an attempt to confirm the configuration.
 	attemptTimeout = time.Second
 	// A request waits for an attempt for answerTimeout, or for downAnswerTimeout while
@@ -56,17 +60,30 @@
 	return nil
 }
 
-// ConfirmLoop confirms the configuration every ConfirmAge unless a caller's request has
-// already done so, and more often while the store does not answer. It returns when c ends.
+// ConfirmLoop confirms the operators' objects whenever they were confirmed confirmInterval
+// ago, by this loop or for a caller's request, and more often while the store does not
+// answer. It returns when c ends.
 func (d *Intake) ConfirmLoop(c context.Context) {
-	wait := ConfirmAge
+	wait := d.confirmInterval()
 	for pause.For(c, wait) {
-		wait = ConfirmAge
-		if err := d.confirmConfig(c, ConfirmAge, attemptTimeout); err != nil {
+		err := d.confirmConfig(c, d.confirmInterval(), attemptTimeout)
+		if err != nil {
 			d.ports.Log.WithError(err).Debug("configuration_unconfirmed")
 			wait = downConfirmInterval
+			continue
 		}
+		d.mu.Lock()
+		wait = max(d.confirmInterval()-time.Since(d.confirmedAt), minConfirmPause)
+		d.mu.Unlock()
+	}
+}
+
+// confirmInterval returns how often the operators' objects are confirmed.
+func (d *Intake) confirmInterval() time.Duration {
+	if a := d.settings.MaxObjectsAge; a > 0 {
+		return min(ConfirmAge, a/confirmsPerAge)
 	}
+	return ConfirmAge
 }
 
 // configConfirmedWithin returns the configuration, and whether the store
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -68,6 +68,9 @@
 	// MaxAge is how long after the store last confirmed the configuration
 	// requests are still answered while the store does not answer.
 	MaxAge time.Duration
+	// MaxObjectsAge is how long after the store last confirmed the operators' objects
+	// the scheduler in this process still starts tasks; 0 means that there is no limit.
+	MaxObjectsAge time.Duration
 }
 
 // Error is returned for a request that failed. Status is the HTTP status to
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -62,6 +62,9 @@
 	ReclaimTimeout time.Duration
 	// JobRetention is the minimum time for which an ended job stays visible.
 	JobRetention time.Duration
+	// MaxSettingsAge is how long after the operators' settings were last confirmed tasks
+	// are started; zero means that there is no limit.
+	MaxSettingsAge time.Duration
 	// CampaignDelay is how long after Run is called the first campaign begins.
 	CampaignDelay time.Duration
 }
@@ -75,6 +78,12 @@
 	ConfirmedAt  time.Time
 }
 
+// age returns how long ago the settings were confirmed. The monotonic clock stops while the
+// machine is suspended and the wall clock may be set back, so the longer time counts.
+func (o *OperatorSettings) age(now time.Time) time.Duration {
+	return max(now.Sub(o.ConfirmedAt), now.Round(0).Sub(o.ConfirmedAt.Round(0)))
+}
+
 // NotLeaderError reports that this process does not hold the scheduler's role. It
 // contains the ID and the address of the last known holder.
 type NotLeaderError struct {
--- a/leader/pace.go
+++ b/leader/pace.go
@@ -83,7 +83,8 @@
 	t.schedulingPass(time.Now())
 	d := time.Since(begun)
 	t.leader.ports.Meter.Pass(d, t.lag())
-	t.leader.ports.Meter.SettingsAge(time.Since(t.leader.currentOperatorSettings().ConfirmedAt))
+	o := t.leader.currentOperatorSettings()
+	t.leader.ports.Meter.SettingsAge(o.age(time.Now()))
 	return d
 }
 
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -51,14 +51,16 @@
 	t.markGuaranteedJobs()
 	w, agents := t.allocWorkers(now)
 	g, runs := t.runningGroups(w, agents, now)
-	d := alloc.Decide(w, g, t.startableUnits(now, agents, totalCapacity(w)))
-	for _, e := range d.Stop {
-		for _, r := range runs[e.Group] {
-			t.preempt(r, e.For, now)
+	if t.settingsCurrent(now) {
+		d := alloc.Decide(w, g, t.startableUnits(now, agents, totalCapacity(w)))
+		for _, e := range d.Stop {
+			for _, r := range runs[e.Group] {
+				t.preempt(r, e.For, now)
+			}
+		}
+		for _, p := range d.Start {
+			t.startUnit(p, agents, now)
 		}
-	}
-	for _, p := range d.Start {
-		t.startUnit(p, agents, now)
 	}
 	for _, i := range alloc.Vacate(w, g, t.leader.settings.MaxStopTime+vacateMargin) {
 		for _, r := range runs[i] {
@@ -67,6 +69,20 @@
 	}
 }
 
+// settingsCurrent reports whether the operators' settings were confirmed recently enough to
+// start tasks by them: a failure domain may have been taken out of service since.
+func (t *term) settingsCurrent(now time.Time) bool {
+	o := t.leader.currentOperatorSettings()
+	age := o.age(now)
+	limit := t.leader.settings.MaxSettingsAge
+	current := limit == 0 || age <= limit
+	if current == t.settingsOutdated {
+		t.settingsOutdated = !current
+		t.log.WithFields(logrus.Fields{"outdated": !current, "age_ms": age.Milliseconds()}).Warn("operator_settings_outdated")
+	}
+	return current
+}
+
 // allocWorkers returns the workers as alloc takes them, and their agents in the same
 // order.
 func (t *term) allocWorkers(now time.Time) ([]alloc.Worker, []*agentState) {
@@ -182,6 +198,7 @@
 		LastAgentMS: r.agent.agentClockMS,
 	}
 	p := r.agent.peer
+	o := t.leader.currentOperatorSettings()
 	r.session = r.agent.session
 	r.requestClockMS = m.LastAgentMS
 	if j.startCount == 0 {
@@ -195,7 +212,7 @@
 		"worker":          r.agent.worker.ID,
 		"domain":          r.agent.worker.Zone,
 		"queue":           j.Queue,
-		"settings_age_ms": time.Since(t.leader.currentOperatorSettings().ConfirmedAt).Milliseconds(),
+		"settings_age_ms": o.age(r.startedAt).Milliseconds(),
 		"waited_ms":       time.Since(j.arrivedAt).Milliseconds(),
 		"from_checkpoint": m.Checkpoint != "",
 		"weight":          coreEquivalents(r.size),
--- a/leader/term.go
+++ b/leader/term.go
@@ -134,6 +134,8 @@
 	storeLossLogged bool
 
 	mu sync.Mutex
+	// settingsOutdated is set while the operators' settings are too old to start tasks.
+	settingsOutdated bool
 	// roleLost means that the role is known to be lost: no job is accepted and
 	// nothing is started any more.
 	roleLost     bool
