Confirm the scheduler's view of jobs and cancellations beside its watch

What callers would see: tasks of a cancelled job go on starting for up to 5 s after the cancellation was acknowledged. The scheduler learns of cancellations by a watch, and from the entry that accepted them; if the watch's connection has gone silent and that entry cannot reach the scheduler, nothing else tells it until the watch times out. Change: the term polls its inputs every second, through mirror.CatchUp.

--- a/leader/term.go
+++ b/leader/term.go
@@ -26,6 +26,10 @@
 	handOverTimeout   = 400 * time.Millisecond
 	restoreRetryDelay = 100 * time.Millisecond
 	stopRetryInterval = 500 * time.Millisecond
+	// inputsInterval is how often the jobs, cancellations and agents in the store are
+	// confirmed beside the watch.
+	inputsInterval = time.Second
+	inputsTimeout  = 900 * time.Millisecond
 	refusedRetryDelay = 150 * time.Millisecond
 )
 
@@ -194,6 +198,7 @@
 	t.cancel = cancel
 	t.mu.Unlock()
 	t.goroutines.Go(func() { t.inputs.Run(c) })
+	t.goroutines.Go(func() { t.confirmInputs(c) })
 	t.goroutines.Go(func() { t.flushLoop(c) })
 	t.goroutines.Go(func() { t.expireLoop(c) })
 	t.goroutines.Go(func() { t.lateTimers.run(c) })
@@ -201,6 +206,19 @@
 	t.goroutines.Wait()
 }
 
+// confirmInputs applies the inputs that the watch has not delivered, until c ends: its
+// connection may have gone silent.
+func (t *term) confirmInputs(c context.Context) {
+	for pause.For(c, inputsInterval) {
+		x, cancel := context.WithTimeout(c, inputsTimeout)
+		err := t.inputs.CatchUp(x)
+		cancel()
+		if err != nil && c.Err() == nil {
+			t.log.WithError(err).Debug("inputs_unconfirmed")
+		}
+	}
+}
+
 // requestPass wakes passLoop.
 func (t *term) requestPass() { pause.Wake(t.wake) }
 
