--- a/leader/term.go
+++ b/leader/term.go
@@ -28,8 +28,8 @@
 	stopRetryInterval = 500 * time.Millisecond
 	// inputsInterval is how often the jobs, cancellations and agents in the store are
 	// confirmed beside the watch.
-	inputsInterval = time.Second
-	inputsTimeout  = 900 * time.Millisecond
+	inputsInterval    = time.Second
+	inputsTimeout     = 900 * time.Millisecond
 	refusedRetryDelay = 150 * time.Millisecond
 )
 
