--- a/fence/fence.go
+++ b/fence/fence.go
@@ -19,6 +19,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hemlockhinge/graph"
 )
@@ -49,6 +50,9 @@
 	Checkpoint string
 	// ProgressPercent is the progress of the run, as a percentage.
 	ProgressPercent int
+	// BegunAt is when the start order was about to be sent, zero if the ledger has the run
+	// from a listing.
+	BegunAt time.Time
 	// token is the token of the start order.
 	token Token
 	// confirmed is set once the worker has shown that the run exists, confirmedAt
@@ -87,6 +91,10 @@
 	// confirmations counts the confirmed runs.
 	confirmations uint64
 	runs          map[graph.Task]*Run
+	// cleared are the runs that were removed by Clear, until it is known whether the
+	// incarnation lives on. dropped are the runs of the previous incarnation at its end.
+	cleared []Run
+	dropped []Run
 	// ends are the ends that are not acknowledged yet.
 	ends []End
 	// lastEnd is the highest number of an end that was applied.
@@ -120,6 +128,8 @@
 	if incarnation == l.incarnation {
 		return false
 	}
+	l.dropped = append(l.Runs(), l.cleared...)
+	l.cleared = nil
 	l.incarnation = incarnation
 	l.runs = nil
 	l.ends = nil
@@ -128,9 +138,13 @@
 	return true
 }
 
+// Dropped returns the runs that existed, or may have, when the previous incarnation of the
+// worker ended.
+func (l *Ledger) Dropped() []Run { return l.dropped }
+
 // Begin adds a run whose start is about to be sent, and returns the token for the
 // order.
-func (l *Ledger) Begin(t graph.Task, attempt int, z graph.Size) Token {
+func (l *Ledger) Begin(t graph.Task, attempt int, z graph.Size, now time.Time) Token {
 	if l.runs == nil {
 		l.runs = map[graph.Task]*Run{}
 	}
@@ -138,6 +152,7 @@
 		Task:    t,
 		Attempt: attempt,
 		Size:    z,
+		BegunAt: now,
 		token:   l.token,
 	}
 	return l.token
@@ -166,6 +181,7 @@
 	if s.Incarnation != l.incarnation {
 		return false
 	}
+	l.cleared = nil
 	changed := l.applyRuns(s)
 	for _, e := range s.Ended {
 		if e.Number <= l.lastEnd {
@@ -191,7 +207,7 @@
 			continue
 		}
 		if r == nil || r.Attempt < v.Attempt {
-			l.Begin(v.Task, v.Attempt, v.Size)
+			l.Begin(v.Task, v.Attempt, v.Size, time.Time{})
 			r = l.runs[v.Task]
 		}
 		if r.Attempt != v.Attempt {
@@ -250,7 +266,10 @@
 }
 
 // Clear removes all runs, because their leases have expired.
-func (l *Ledger) Clear() { l.runs = nil }
+func (l *Ledger) Clear() {
+	l.cleared = append(l.cleared, l.Runs()...)
+	l.runs = nil
+}
 
 // HasAttempt reports whether a run of this attempt of the task may exist.
 func (l *Ledger) HasAttempt(t graph.Task, attempt int) bool {
--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -41,20 +42,20 @@
 func TestStartWithoutAnswer(t *testing.T) {
 	t.Run("listing under the same token does not remove the run", func(t *testing.T) {
 		l := ledger()
-		l.Begin(first, 1, size)
+		l.Begin(first, 1, size, time.Time{})
 		l.Apply(listing(l))
 		assertRuns(t, l, 1)
 	})
 	t.Run("listing under a higher token removes the run", func(t *testing.T) {
 		l := ledger()
-		l.Begin(first, 1, size)
+		l.Begin(first, 1, size, time.Time{})
 		l.RaiseToken(0)
 		l.Apply(listing(l))
 		assertRuns(t, l, 0)
 	})
 	t.Run("listing that shows the run confirms it", func(t *testing.T) {
 		l := ledger()
-		l.Begin(first, 1, size)
+		l.Begin(first, 1, size, time.Time{})
 		l.RaiseToken(0)
 		l.Apply(listing(l, fence.Run{Task: first, Attempt: 1}))
 		assertRuns(t, l, 1)
@@ -67,7 +68,7 @@
 func TestOutdatedListing(t *testing.T) {
 	l := ledger()
 	outdated := listing(l)
-	l.Begin(first, 1, size)
+	l.Begin(first, 1, size, time.Time{})
 	l.Confirm(first, 1)
 	l.Apply(outdated)
 	assertRuns(t, l, 1)
@@ -81,7 +82,7 @@
 func TestOutdatedListingAfterLostAnswer(t *testing.T) {
 	l := ledger()
 	outdated := listing(l)
-	l.Begin(first, 1, size)
+	l.Begin(first, 1, size, time.Time{})
 	l.RaiseToken(0)
 	l.Apply(listing(l, fence.Run{Task: first, Attempt: 1, Size: size}))
 	l.Apply(outdated)
@@ -92,7 +93,7 @@
 
 func TestNewIncarnation(t *testing.T) {
 	l := ledger()
-	l.Begin(first, 1, size)
+	l.Begin(first, 1, size, time.Time{})
 	l.Confirm(first, 1)
 	if l.SetIncarnation(7) || !l.SetIncarnation(8) {
 		t.Error("SetIncarnation does not report changes of the incarnation correctly")
@@ -105,7 +106,7 @@
 
 func TestEnds(t *testing.T) {
 	l := ledger()
-	l.Begin(first, 1, size)
+	l.Begin(first, 1, size, time.Time{})
 	l.Confirm(first, 1)
 	v := listing(l)
 	v.Ended = []fence.End{{Number: 1, End: graph.End{Task: first, Attempt: 1, Outcome: graph.OutcomeDone}}}
@@ -123,8 +124,8 @@
 
 func TestUsedCountsUncertainRuns(t *testing.T) {
 	l := ledger()
-	l.Begin(first, 1, size)
-	l.Begin(second, 1, size)
+	l.Begin(first, 1, size, time.Time{})
+	l.Begin(second, 1, size, time.Time{})
 	l.Confirm(second, 1)
 	if z := l.Used(); z != size.Times(2) {
 		t.Errorf("used %+v", z)
@@ -164,7 +165,7 @@
 // begin adds the next start to the ledger.
 func (h *unreliableWorker) begin() fence.Token {
 	h.attempt++
-	return h.ledger.Begin(taskNumbered(h.attempt), h.attempt, size)
+	return h.ledger.Begin(taskNumbered(h.attempt), h.attempt, size, time.Time{})
 }
 
 // execute starts an attempt on the worker, unless it has seen a higher token.
--- a/leader/report.go
+++ b/leader/report.go
@@ -257,6 +257,12 @@
 		return
 	}
 	delete(j.runs, r.task)
-	t.log.WithFields(logrus.Fields{"task": r.task.String(), "attempt": r.attempt, "agent": m.addr}).Info("run_lost")
+	t.log.WithFields(logrus.Fields{
+		"task":       r.task.String(),
+		"attempt":    r.attempt,
+		"agent":      m.addr,
+		"worker":     m.worker.ID,
+		"started_ms": time.Since(r.startedAt).Milliseconds(),
+	}).Info("run_lost")
 	t.requestPass()
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -34,6 +34,7 @@
 	lagSeconds        prometheus.Histogram
 	settingsAge       prometheus.Gauge
 	orderAgeSeconds   prometheus.Histogram
+	workerCrashes     prometheus.Counter
 }
 
 // New registers a daemon's metrics.
@@ -62,13 +63,18 @@
 			Help:      "Age of the operators' settings at the scheduler's last pass.",
 		}),
 		orderAgeSeconds: plainHistogram("start_order_age_seconds", "Age of the scheduler's start orders when the agent carries them out."),
+		workerCrashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "worker_crashes_total",
+			Help:      "Unplanned restarts of the worker.",
+		}),
 		linesDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "log_lines_dropped_total",
 			Help:      "Log lines beyond the budget.",
 		}),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.orderAgeSeconds)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.orderAgeSeconds, m.workerCrashes)
 	return m
 }
 
@@ -155,6 +161,13 @@
 	}
 }
 
+// WorkerCrashed counts an unplanned restart of the worker.
+func (m *Meter) WorkerCrashed() {
+	if m != nil {
+		m.workerCrashes.Inc()
+	}
+}
+
 // LinesDropped counts dropped log lines.
 func (m *Meter) LinesDropped(n int) {
 	if m != nil {
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -151,7 +151,7 @@
 		Checkpoint: m.Checkpoint,
 		Ticket:     m.Ticket,
 		LeaseEndMS: r.leaseEnd(),
-		Token:      r.ledger.Begin(t, m.Attempt, m.Size),
+		Token:      r.ledger.Begin(t, m.Attempt, m.Size, time.Now()),
 	}, nil
 }
 
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -85,6 +85,10 @@
 	return now.Sub(r.unansweredSince)
 }
 
+// lastAnswer returns when the worker last answered, now if it answers. The caller holds
+// r.mu.
+func (r *Runner) lastAnswer() time.Time { return time.Now().Add(-r.unansweredFor(time.Now())) }
+
 // raiseToken moves to a higher fencing token and reports whether it could. The first
 // token is derived from the worker's start time and clock; raiseToken returns false while
 // either is unknown.
@@ -139,12 +143,13 @@
 		r.handleRenewError(o, err)
 		return err
 	}
+	lastAnswer := r.lastAnswer()
 	r.unansweredSince = time.Time{}
 	a.Listing.Token = o.Token
 	a.Listing.Confirmations = confirmations
 	if a.Listing.Incarnation != r.ledger.Incarnation() && a.Listing.Incarnation > r.worker.Born {
 		r.worker.Born = a.Listing.Incarnation
-		r.updateIncarnation(a.Listing.Incarnation)
+		r.updateIncarnation(a.Listing.Incarnation, r.worker.Leaving, lastAnswer)
 	}
 	if r.ledger.Apply(a.Listing) {
 		r.markChanged()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -175,7 +175,7 @@
 			"leaves_in_ms": f.LeavesMS,
 		}).Info("worker_changed")
 	}
-	if r.updateIncarnation(f.Born) || clockMS > 0 && r.clock.at.IsZero() {
+	if r.updateIncarnation(f.Born, old.Leaving, r.lastAnswer()) || clockMS > 0 && r.clock.at.IsZero() {
 		r.clock = workerClock{
 			ms: clockMS,
 			at: time.Now(),
@@ -202,11 +202,16 @@
 }
 
 // updateIncarnation records the worker's incarnation and reports whether it is a new one.
-// Earlier orders then have to be fenced again. The caller holds r.mu.
-func (r *Runner) updateIncarnation(born int64) bool {
+// Earlier orders then have to be fenced again. planned means that the previous incarnation
+// was shutting down, and lastAnswer is when it last answered. The caller holds r.mu.
+func (r *Runner) updateIncarnation(born int64, planned bool, lastAnswer time.Time) bool {
+	crashed := r.ledger.Incarnation() > 0 && !planned
 	if !r.ledger.SetIncarnation(born) {
 		return false
 	}
+	if crashed {
+		r.recordCrash(lastAnswer)
+	}
 	r.fenced = false
 	pause.Wake(r.wakePoll)
 	return true
