Give up a task that crashes its workers, after three crashes

Cause: only ends that a worker lists as failed counted. A run that is lost with its worker was started again without a limit, and nobody knew what a worker had started just before it crashed. Change: the agent reports the runs that may have crashed its worker, as ends without a number, which an earlier scheduler ignores; the scheduler records them by attempt in the job's progress, and the job fails at the third. A task with two is started only once that is in the store, apart from all other starts on its worker, and stops nothing. An attempt that works for a second clears its task, and its gang.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -37,6 +37,9 @@
 	RunsBestEffort bool
 	// Unschedulable excludes the worker from new placements.
 	Unschedulable bool
+	// KeepApart excludes the worker from new placements while a unit with Apart set has just
+	// started there.
+	KeepApart bool
 	// Leaving means that the worker shuts down, and LeavesIn is for how long it still
 	// stays at least.
 	Leaving  bool
@@ -49,8 +52,13 @@
 	// that may still run when a reservation starts (the "extra nodes" of EASY
 	// backfilling).
 	extra graph.Size
+	// placed means that this Decide has placed a unit on the worker.
+	placed bool
 }
 
+// accepts reports whether the worker may be given a unit beside what starts there.
+func (v *Worker) accepts(u *Unit) bool { return !v.KeepApart && !(u.Apart && v.placed) }
+
 // freeFor returns the capacity that a unit may use on the worker now.
 func (v *Worker) freeFor(u *Unit) graph.Size {
 	if u.extraOnly {
@@ -80,6 +88,10 @@
 	// NoPreemption forbids preemption for an urgent unit: it starts only on free
 	// capacity.
 	NoPreemption bool
+	// Apart asks for workers on which nothing else is started at about the same time, because
+	// a task of the unit may crash its worker. Workers with much free capacity are
+	// preferred, since less is lost there.
+	Apart bool
 	// AllowedWorkers, if not nil, holds the indexes of the only workers that may run the
 	// step.
 	AllowedWorkers map[int]bool
@@ -226,6 +238,7 @@
 	oneRack      bool
 	anyRack      bool
 	extraOnly    bool
+	apart        bool
 }
 
 func requirementsOf(u *Unit) requirements {
@@ -239,6 +252,7 @@
 		oneRack:      u.Step.OneRack,
 		anyRack:      u.AnyRack,
 		extraOnly:    u.extraOnly,
+		apart:        u.Apart,
 	}
 }
 
@@ -253,6 +267,8 @@
 		w[k].extra = w[k].extra.Sub(u.Step.Size)
 		w[k].RunsLatencyTasks = w[k].RunsLatencyTasks || u.Step.TailLatencyTarget > 0
 		w[k].RunsBestEffort = w[k].RunsBestEffort || u.Step.BestEffort
+		w[k].placed = true
+		w[k].KeepApart = w[k].KeepApart || u.Apart
 		if u.RunningPerWorker != nil {
 			u.RunningPerWorker[k]++
 		}
@@ -377,7 +393,7 @@
 	total := 0
 	for i := range w {
 		z := w[i].freeFor(u)
-		if !z.Holds(u.Step.Size) || !eligible(w, i, u) || !ok(&w[i]) {
+		if !z.Holds(u.Step.Size) || !eligible(w, i, u) || !w[i].accepts(u) || !ok(&w[i]) {
 			continue
 		}
 		if n := taskCapacity(z, u, u.RunningPerWorker[i]); n > 0 {
@@ -395,7 +411,7 @@
 		x, y := &w[a.worker], &w[b.worker]
 		return cmp.Or(
 			cmp.Compare(x.FailureScore, y.FailureScore),
-			cmp.Compare(leftoverShare(x, u, a.fits), leftoverShare(y, u, b.fits)),
+			u.compareLeftover(leftoverShare(x, u, a.fits), leftoverShare(y, u, b.fits)),
 			cmp.Compare(x.ID, y.ID),
 		)
 	})
@@ -408,6 +424,15 @@
 	return at, true
 }
 
+// compareLeftover orders workers by what stays free on them: the least first, by best fit,
+// and the most first for units that are kept apart.
+func (u *Unit) compareLeftover(a, b float64) int {
+	if u.Apart {
+		return cmp.Compare(b, a)
+	}
+	return cmp.Compare(a, b)
+}
+
 // leftoverShare adds up, over all resources, the share of the total that would
 // stay free on the worker. A unit of a resource counts the more, the less of it
 // the worker has.
--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -170,7 +170,7 @@
 func (p *preemptor) allOptions(u *Unit) []option {
 	l := make([]option, 0, len(p.workers))
 	for i := range p.workers {
-		if eligible(p.workers, i, u) {
+		if eligible(p.workers, i, u) && p.workers[i].accepts(u) {
 			l = append(l, p.optionOn(i, u))
 		}
 	}
--- a/fence/crash.go
+++ b/fence/crash.go
@@ -5,17 +5,15 @@
 	"time"
 )
 
-// Rules for attributing the crash of a worker to its runs.
-const (
-	// crashWindow is how long after its start a run may have crashed its worker. It allows
-	// for members of a gang, which work only once the last of them is there.
-	crashWindow = 5 * time.Second
-	// startSpread is the time within which starts count as made together.
-	startSpread = time.Second
-)
+// CrashWindow is how long after the start of a run its worker may last have answered if the
+// run crashed it. Workers that crash for other reasons rarely do so that soon.
+const CrashWindow = time.Second
+
+// startSpread is the time within which starts count as made together.
+const startSpread = time.Second
 
 // CrashSuspects returns the runs that may have crashed their worker, of all that existed when
-// it crashed: those that were started last, if the worker last answered within crashWindow of
+// it crashed: those that were started last, if the worker last answered within CrashWindow of
 // their start. Which of several it was shows only when they are started apart.
 func CrashSuspects(runs []Run, lastAnswer time.Time) []Run {
 	var latest time.Time
@@ -24,7 +22,7 @@
 			latest = r.BegunAt
 		}
 	}
-	if latest.IsZero() || lastAnswer.Sub(latest) > crashWindow {
+	if latest.IsZero() || lastAnswer.Sub(latest) > CrashWindow {
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(runs), func(r Run) bool { return latest.Sub(r.BegunAt) > startSpread })
--- a/fence/crash_test.go
+++ b/fence/crash_test.go
@@ -38,6 +38,7 @@
 	}{
 		{"just started", runsBegun(start, 0), 0, []int{0}},
 		{"no answer since the start", runsBegun(start, s), 0, []int{0}},
+		{"working for a while", runsBegun(start, 0), 2 * s, nil},
 		{"the last one only", runsBegun(start, 0, 3*s, 9*s), 9 * s, []int{2}},
 		{"started together", runsBegun(start, 0, 9*s, 9*s+s/2), 10 * s, []int{1, 2}},
 		{"started long before", runsBegun(start, 0, 1*s), 20 * s, nil},
--- /dev/null
+++ b/graph/crash_test.go
@@ -0,0 +1,54 @@
+package graph_test
+
+import (
+	"testing"
+
+	"hemlockhinge/graph"
+)
+
+// crashStep is the crash of a worker under an attempt at a task, or its survival.
+type crashStep struct {
+	attempt  int
+	survived bool
+}
+
+// TestCrashes guards against a task that crashes worker after worker, and against a job that
+// is given up for the same crash reported repeatedly or for crashes before it has worked.
+func TestCrashes(t *testing.T) {
+	crash := func(attempt int) crashStep { return crashStep{attempt: attempt} }
+	survival := func(attempt int) crashStep { return crashStep{attempt: attempt, survived: true} }
+	cases := []struct {
+		name    string
+		steps   []crashStep
+		suspect bool
+		want    graph.State
+	}{
+		{"one", []crashStep{crash(1)}, false, graph.Queued},
+		{"two", []crashStep{crash(1), crash(2)}, true, graph.Queued},
+		{"three", []crashStep{crash(1), crash(2), crash(9)}, true, graph.Failed},
+		{"one reported three times", []crashStep{crash(1), crash(1), crash(1)}, false, graph.Queued},
+		{"worked after two", []crashStep{crash(1), crash(2), survival(3), crash(4)}, false, graph.Queued},
+		{"reported again after it worked", []crashStep{crash(1), survival(2), crash(1), crash(3)}, false, graph.Queued},
+		{"three after it worked", []crashStep{survival(1), crash(2), crash(3), crash(4)}, true, graph.Failed},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			j := twoSteps()
+			p := graph.NewProgress(j)
+			k := task(0, 1)
+			for _, s := range v.steps {
+				if s.survived {
+					p.Task(j, k).RecordSurvival(s.attempt)
+					continue
+				}
+				p.RecordCrash(j, k, s.attempt)
+			}
+			if got := p.Task(j, k).Suspect(); got != v.suspect || p.State != v.want {
+				t.Errorf("suspect: %t, state %q; want %t, %q", got, p.State, v.suspect, v.want)
+			}
+			if p.Task(j, task(0, 0)).Suspect() {
+				t.Error("another task is a suspect too")
+			}
+		})
+	}
+}
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -23,6 +23,9 @@
 	OutcomeGangIncomplete Outcome = "alone"
 	// OutcomeWorkerLost: its worker was lost.
 	OutcomeWorkerLost Outcome = "lost"
+	// OutcomeWorkerCrashed: its worker crashed soon after it had started, possibly because
+	// of it.
+	OutcomeWorkerCrashed Outcome = "crashed"
 )
 
 // State is the state of a job as its caller sees it.
@@ -58,8 +61,26 @@
 	// FailedAttempts lists the failed attempts. They are listed and not counted because
 	// the same end may be reported repeatedly.
 	FailedAttempts []int `msgpack:"f,omitempty"`
+	// CrashedAttempts lists the attempts whose worker crashed, likewise, since
+	// SurvivedAttempt, the last attempt that has worked without crashing its worker.
+	CrashedAttempts []int `msgpack:"c,omitempty"`
+	SurvivedAttempt int   `msgpack:"v,omitempty"`
 }
 
+// Limits on the workers that a task may crash. One crash may have other causes, and the task
+// may share its blame with others that were started at the same time.
+const (
+	// suspectCrashes is the number of crashes from which a task is a suspect.
+	suspectCrashes = 2
+	// maxCrashes is the number of crashes after which the task is given up. The last one
+	// hit it while it was started apart from others.
+	maxCrashes = 3
+)
+
+// Suspect reports whether the task is suspected to crash its workers, so that it must be
+// started apart from other tasks.
+func (t *TaskProgress) Suspect() bool { return len(t.CrashedAttempts) >= suspectCrashes }
+
 // Progress is the progress of a job. The store holds it in a record of its own
 // beside that of the job.
 type Progress struct {
@@ -106,6 +127,33 @@
 	return &p.Tasks[i+t.Index]
 }
 
+// RecordCrash records that the worker crashed soon after an attempt at a task had started,
+// and reports whether that is new. After maxCrashes of them the job has failed.
+func (p *Progress) RecordCrash(j *Job, k Task, attempt int) bool {
+	t := p.Task(j, k)
+	if t == nil || t.Done || p.State.Final() || attempt <= t.SurvivedAttempt || slices.Contains(t.CrashedAttempts, attempt) {
+		return false
+	}
+	t.Attempt = max(t.Attempt, attempt)
+	t.CrashedAttempts = append(t.CrashedAttempts, attempt)
+	if len(t.CrashedAttempts) >= maxCrashes {
+		p.State = Failed
+	}
+	return true
+}
+
+// RecordSurvival records that an attempt at a task has worked without crashing its worker, so
+// that it is not to blame for earlier crashes. It reports whether there were any.
+func (t *TaskProgress) RecordSurvival(attempt int) bool {
+	n := len(t.CrashedAttempts)
+	t.CrashedAttempts = slices.DeleteFunc(t.CrashedAttempts, func(a int) bool { return a <= attempt })
+	if len(t.CrashedAttempts) == n {
+		return false
+	}
+	t.SurvivedAttempt = max(t.SurvivedAttempt, attempt)
+	return true
+}
+
 // RecordEnd records the end of a run, and reports whether the task is done or has
 // failed in it, so that the progress must be stored. A gang member that is done
 // completes all tasks of the gang.
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -24,6 +24,9 @@
 	// vacateMargin is the time reserved for an order to stop a run on a leaving worker to
 	// be decided on and to arrive.
 	vacateMargin = 600 * time.Millisecond
+	// apartTime is for how long after the start of a suspect nothing else is started on its
+	// worker. The members of a gang may wait for the last one until gangStartTimeout.
+	apartTime = 2 * gangStartTimeout
 )
 
 // queue returns a job's queue, or nil if it is no longer configured.
@@ -109,6 +112,7 @@
 			RunsLatencyTasks: m.runsStep(t, func(s *graph.Step) bool { return s.TailLatencyTarget > 0 }),
 			RunsBestEffort:   m.runsStep(t, func(s *graph.Step) bool { return s.BestEffort }),
 			Unschedulable:    m.peer == nil || !m.accountedFor || !m.acceptsTasks || !f.Known || f.Leaving || f.Gone || out[f.Zone] || d >= blockedScore,
+			KeepApart:        m.startedSuspect(t, now),
 			Leaving:          f.Leaving,
 			LeavesIn:         max(m.leavesAt.Sub(now), 0),
 			FailureScore:     d,
@@ -117,6 +121,17 @@
 	return w, agents
 }
 
+// startedSuspect reports whether a task that is suspected to crash its workers was started
+// at the worker within apartTime.
+func (m *agentState) startedSuspect(t *term, now time.Time) bool {
+	for k, r := range m.runs {
+		if j := t.jobs[k.Job]; j != nil && now.Sub(r.startedAt) < apartTime && j.hasSuspect([]graph.Task{k}) {
+			return true
+		}
+	}
+	return false
+}
+
 // runsStep reports whether the worker has a run of a step for which f returns true.
 func (m *agentState) runsStep(t *term, f func(*graph.Step) bool) bool {
 	for k := range m.runs {
--- a/leader/report.go
+++ b/leader/report.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/fence"
 	"hemlockhinge/graph"
 	"hemlockhinge/pause"
 	"hemlockhinge/wire"
@@ -160,6 +161,9 @@
 		r.phase = running
 	}
 	if p := j.progress.Task(j.Job, k); p != nil {
+		if v.Percent > 0 && time.Since(r.startedAt) > fence.CrashWindow {
+			j.recordSurvival(k, v.Attempt)
+		}
 		p.Attempt = max(p.Attempt, v.Attempt)
 		if v.Saved != "" {
 			p.Checkpoint = v.Saved
@@ -197,12 +201,18 @@
 
 // applyReportedEnd applies one end of a run in an agent's report.
 func (t *term) applyReportedEnd(m *agentState, e wire.EndState) {
+	k, err := graph.ParseTask(e.Task)
+	j := t.jobs[k.Job]
+	if graph.Outcome(e.How) == graph.OutcomeWorkerCrashed {
+		if err == nil && j != nil {
+			t.recordCrash(j, m, k, e.Attempt)
+		}
+		return
+	}
 	if e.N <= m.lastEnd {
 		return
 	}
 	m.lastEnd = e.N
-	k, err := graph.ParseTask(e.Task)
-	j := t.jobs[k.Job]
 	if err != nil || j == nil {
 		m.pendingEnds = append(m.pendingEnds, pendingEnd{
 			number: e.N,
@@ -222,6 +232,40 @@
 	})
 }
 
+// recordSurvival records that an attempt at a task works and has not crashed its worker. The
+// members of a gang work only together.
+func (j *job) recordSurvival(k graph.Task, attempt int) {
+	first, last := k.Index, k.Index
+	if s := j.Steps[k.Step]; s.Gang {
+		first, last = 0, s.Count-1
+	}
+	for i := first; i <= last; i++ {
+		k.Index = i
+		if j.progress.Task(j.Job, k).RecordSurvival(attempt) {
+			j.progressVersion++
+		}
+	}
+}
+
+// recordCrash records in the progress of a job that an agent's worker crashed soon after an
+// attempt at a task had started. Agents report a crash repeatedly.
+func (t *term) recordCrash(j *job, m *agentState, k graph.Task, attempt int) {
+	if !j.progress.RecordCrash(j.Job, k, attempt) {
+		return
+	}
+	j.progressVersion++
+	j.crashVersion = j.progressVersion
+	pause.Wake(t.flushNow)
+	t.requestPass()
+	t.log.WithFields(logrus.Fields{
+		"task":    k.String(),
+		"attempt": attempt,
+		"agent":   m.addr,
+		"crashes": len(j.progress.Task(j.Job, k).CrashedAttempts),
+		"state":   j.progress.State,
+	}).Warn("run_crashed_worker")
+}
+
 // recordEnd records the end of a run in the progress of its job.
 func (t *term) recordEnd(j *job, m *agentState, e graph.End) {
 	if r := j.runs[e.Task]; r != nil && r.attempt == e.Attempt {
--- a/leader/term.go
+++ b/leader/term.go
@@ -53,6 +53,8 @@
 	// store.
 	progressVersion uint64
 	storedVersion   uint64
+	// crashVersion is the version of progress that has the newest crash of a worker.
+	crashVersion uint64
 	// storedRevision is the revision of the progress in the store, 0 for none.
 	storedRevision uint64
 	// publishedState is the last state that is known to be in the store.
--- a/leader/units.go
+++ b/leader/units.go
@@ -106,7 +106,7 @@
 		u.RunningPerWorker = j.runsPerWorker(occurrence, step, l.agents)
 	}
 	if s.Gang {
-		l.units = append(l.units, u)
+		l.add(j, u)
 		return
 	}
 	wave := waveSize(l.capacity[q.Service], s.Size)
@@ -116,10 +116,19 @@
 		v.Work = u.Work / float64(len(tasks))
 		v.NoPreemption = !j.withinGuarantee && active+i >= wave
 		v.Reserve = u.Reserve && !v.NoPreemption
-		l.units = append(l.units, v)
+		l.add(j, v)
 	}
 }
 
+// add adds a unit. One with a suspect stops no others: its workers may crash.
+func (l *unitLister) add(j *job, u alloc.Unit) {
+	if j.hasSuspect(u.Tasks) {
+		u.Apart = true
+		u.NoPreemption = true
+	}
+	l.units = append(l.units, u)
+}
+
 // idleTime returns for how long a job has had no run.
 func (j *job) idleTime(now time.Time) time.Duration {
 	if j.lastActive.After(j.arrivedAt) {
@@ -141,13 +150,28 @@
 		switch {
 		case j.runs[k] != nil:
 			active++
-		case !j.progress.Task(j.Job, k).Done && !now.Before(j.retryAfter[k]):
+		case j.startable(k, now):
 			tasks = append(tasks, k)
 		}
 	}
 	return tasks, active
 }
 
+// startable reports whether a task without a run may be started. A suspect waits until the
+// crashes of its workers are in the store: no later scheduler may start it as often again.
+func (j *job) startable(k graph.Task, now time.Time) bool {
+	v := j.progress.Task(j.Job, k)
+	if v.Suspect() && j.crashVersion > j.storedVersion {
+		return false
+	}
+	return !v.Done && !now.Before(j.retryAfter[k])
+}
+
+// hasSuspect reports whether a task is suspected to crash its workers.
+func (j *job) hasSuspect(tasks []graph.Task) bool {
+	return slices.ContainsFunc(tasks, func(k graph.Task) bool { return j.progress.Task(j.Job, k).Suspect() })
+}
+
 // waveShare is the share of a service's capacity up to which a step's tasks may preempt
 // others. A wider step is expected to run in waves.
 const waveShare = 0.25
--- a/runner/report.go
+++ b/runner/report.go
@@ -60,6 +60,7 @@
 			Uncertain: v.Uncertain(),
 		})
 	}
+	s.Ends = r.crashEnds()
 	for _, e := range r.ledger.Ends() {
 		s.Ends = append(s.Ends, wire.EndState{
 			N:       e.Number,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -106,6 +106,8 @@
 	// leasesExpireAt is when all leases that the worker may have received have expired.
 	leasesExpireAt time.Time
 	leasesExpired  bool
+	// crashed are the runs that may have crashed the worker recently.
+	crashed []crashedRun
 	// session and peer are the scheduler's active session and its connection.
 	session    wire.StartSession
 	peer       *wire.Peer
