Take a restarted worker's first heartbeats, also if its listing came first

What callers would see: tasks are started on a worker that has less capacity than before, or that is shutting down, for up to half a minute (LIMIT, DRAIN). Cause: a worker may restart under its ID. If a listing shows the new incarnation before its first heartbeat does, the agent kept the number of the last heartbeat of the old one and ignored the new ones as stale, until their numbers exceeded it; meanwhile it started tasks by the old report. Change: the number starts anew, and the worker counts as unknown until the first heartbeat of the new incarnation. Result: TestHeartbeatAfterRestartWithSameID failed before and passes.

--- a/runner/poll.go
+++ b/runner/poll.go
@@ -148,7 +148,10 @@
 	a.Listing.Token = o.Token
 	a.Listing.Confirmations = confirmations
 	if a.Listing.Incarnation != r.ledger.Incarnation() && a.Listing.Incarnation > r.worker.Born {
+		// Nothing else is known of the new incarnation before its first heartbeat.
 		r.worker.Born = a.Listing.Incarnation
+		r.worker.Known = false
+		r.heartbeatSeq = 0
 		r.updateIncarnation(a.Listing.Incarnation, r.worker.Leaving, lastAnswer)
 	}
 	if r.ledger.Apply(a.Listing) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -163,13 +163,14 @@
 		return
 	}
 	old := r.worker
+	isNew := !old.Known || f.Born != old.Born || f.ID != old.ID
 	r.worker = f
 	r.heartbeatSeq = seq
 	r.heartbeatAt = time.Now()
-	if r.ports.OnPresenceChange != nil && (f.Born != old.Born || f.ID != old.ID) {
+	if r.ports.OnPresenceChange != nil && isNew {
 		r.ports.OnPresenceChange(true)
 	}
-	if f.Born != old.Born || f.ID != old.ID || f.Leaving != old.Leaving {
+	if isNew || f.Leaving != old.Leaving {
 		r.ports.Log.WithFields(logrus.Fields{
 			"worker":       f.ID,
 			"born":         f.Born,
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -36,6 +36,8 @@
 	running      []fence.Run
 	starts       int
 	unresponsive bool
+	// incarnation is that of its listings, workerStart if 0.
+	incarnation int64
 	// lastLeaseEnd is the end of the lease of the last start.
 	lastLeaseEnd int64
 }
@@ -84,7 +86,7 @@
 	return runner.Answer{
 		ClockMS: 1,
 		Listing: fence.Listing{
-			Incarnation: workerStart,
+			Incarnation: max(w.incarnation, workerStart),
 			Running:     w.running,
 		},
 	}, nil
@@ -206,3 +208,40 @@
 		}
 	})
 }
+
+// TestHeartbeatAfterRestartWithSameID guards against a worker whose reports are taken for
+// those of its previous incarnation: it restarts under its ID, the runner learns of that from
+// a listing first, and the numbers of its heartbeats begin anew. No task may start before
+// the first heartbeat, since the worker may have become smaller.
+func TestHeartbeatAfterRestartWithSameID(t *testing.T) {
+	w := &fakeWorker{}
+	withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
+		beat := func(born, seq int64, z graph.Size) {
+			r.HandleHeartbeat(wire.WorkerInfo{
+				Known:    true,
+				ID:       "w1",
+				Born:     born,
+				Capacity: z,
+			}, seq, 1)
+		}
+		beat(workerStart, 20, workerCapacity)
+		if k := launch(c, r, p, "0123456789abcdef.0.0.0", 1); k != 0 {
+			t.Fatalf("first start: code %s", k)
+		}
+		w.incarnation = workerStart + 5000
+		w.running = nil
+		time.Sleep(2 * time.Second)
+		if k := launch(c, r, p, "0123456789abcdef.0.0.1", 1); k == 0 {
+			t.Error("a task was started before the first heartbeat of the new incarnation")
+		}
+		beat(workerStart+5000, 1, graph.Size{})
+		time.Sleep(2 * time.Second)
+		if k := launch(c, r, p, "0123456789abcdef.0.0.2", 1); k != wire.CodeBusy {
+			t.Errorf("start on a worker without capacity: code %s", k)
+		}
+		beat(workerStart+5000, 2, workerCapacity)
+		if k := launch(c, r, p, "0123456789abcdef.0.0.3", 1); k != 0 {
+			t.Errorf("start after the second heartbeat: code %s", k)
+		}
+	})
+}
