--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -57,7 +57,7 @@
 }
 
 // accepts reports whether the worker may be given a unit beside what starts there.
-func (v *Worker) accepts(u *Unit) bool { return !v.KeepApart && !(u.Apart && v.placed) }
+func (v *Worker) accepts(u *Unit) bool { return !v.KeepApart && (!u.Apart || !v.placed) }
 
 // freeFor returns the capacity that a unit may use on the worker now.
 func (v *Worker) freeFor(u *Unit) graph.Size {
