Use a worker again that was down for longer than its leases last

What callers see: a worker gets no tasks any more after it was down for longer than its leases last, while its agent went on. Cause: an agent that has got no answer for that long renews no lease, so that it notices the expiry. The first call that is answered again is sent without a renewal too; if nothing runs then, no other call follows, and the agent goes on reporting that all leases have expired, which stands for a worker that does not answer. Change: an answered listing ends that state.

--- a/runner/poll.go
+++ b/runner/poll.go
@@ -145,6 +145,11 @@
 	}
 	lastAnswer := r.lastAnswer()
 	r.unansweredSince = time.Time{}
+	if r.leasesExpired {
+		// The listing shows what runs, and an idle worker gets no renewals.
+		r.leasesExpireAt = time.Now().Add(r.maxLeaseDuration())
+		r.updateLeasesExpired()
+	}
 	a.Listing.Token = o.Token
 	a.Listing.Confirmations = confirmations
 	if a.Listing.Incarnation != r.ledger.Incarnation() && a.Listing.Incarnation > r.worker.Born {
