Count crashes of workers that show late, or only as expired leases

What callers would see: a task that crashes its workers is started too often (BUDGET) if they are down for longer than their leases last, or for ever if each agent restarts while its worker is down. Cause: crashes were known from the agent alone, and only once the worker was back. Its task had been started elsewhere by then, and an agent that is restarted meanwhile has forgotten what it had started. Besides, an agent goes on listing what runs at a worker that does not answer, which could clear a task that had not survived. Change: a run that is lost early while its worker does not answer counts in the scheduler until the worker answers; a task that would be given up by that waits. If the agent was restarted and the worker is another incarnation, the run has crashed it. Only progress two seconds after the start clears a task, also of crashes that are told later. A run remembers that it was started apart, so a pass need not look at the progress of all runs.

--- a/graph/crash_test.go
+++ b/graph/crash_test.go
@@ -43,10 +43,10 @@
 				}
 				p.RecordCrash(j, k, s.attempt)
 			}
-			if got := p.Task(j, k).Suspect(); got != v.suspect || p.State != v.want {
+			if got := p.Task(j, k).SuspectAfter(0); got != v.suspect || p.State != v.want {
 				t.Errorf("suspect: %t, state %q; want %t, %q", got, p.State, v.suspect, v.want)
 			}
-			if p.Task(j, task(0, 0)).Suspect() {
+			if p.Task(j, task(0, 0)).SuspectAfter(0) {
 				t.Error("another task is a suspect too")
 			}
 		})
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -77,9 +77,12 @@
 	maxCrashes = 3
 )
 
-// Suspect reports whether the task is suspected to crash its workers, so that it must be
-// started apart from other tasks.
-func (t *TaskProgress) Suspect() bool { return len(t.CrashedAttempts) >= suspectCrashes }
+// SuspectAfter reports whether after n more crashes the task is suspected to crash its
+// workers, so that it must be started apart from other tasks.
+func (t *TaskProgress) SuspectAfter(n int) bool { return len(t.CrashedAttempts)+n >= suspectCrashes }
+
+// GivenUpAfter reports whether the task is given up after n more crashes.
+func (t *TaskProgress) GivenUpAfter(n int) bool { return len(t.CrashedAttempts)+n >= maxCrashes }
 
 // Progress is the progress of a job. The store holds it in a record of its own
 // beside that of the job.
@@ -136,27 +139,20 @@
 	}
 	t.Attempt = max(t.Attempt, attempt)
 	t.CrashedAttempts = append(t.CrashedAttempts, attempt)
-	if len(t.CrashedAttempts) >= maxCrashes {
+	if t.GivenUpAfter(0) {
 		p.State = Failed
 	}
 	return true
 }
 
-// HasCrashes reports whether workers have crashed under tasks that have not worked since.
-func (p *Progress) HasCrashes() bool {
-	return slices.ContainsFunc(p.Tasks, func(t TaskProgress) bool { return len(t.CrashedAttempts) > 0 })
-}
-
 // RecordSurvival records that an attempt at a task has worked without crashing its worker, so
-// that it is not to blame for earlier crashes. It reports whether there were any.
+// that it is not to blame for earlier crashes, also for those that are told later. It reports
+// whether there were any.
 func (t *TaskProgress) RecordSurvival(attempt int) bool {
 	n := len(t.CrashedAttempts)
 	t.CrashedAttempts = slices.DeleteFunc(t.CrashedAttempts, func(a int) bool { return a <= attempt })
-	if len(t.CrashedAttempts) == n {
-		return false
-	}
 	t.SurvivedAttempt = max(t.SurvivedAttempt, attempt)
-	return true
+	return len(t.CrashedAttempts) < n
 }
 
 // RecordEnd records the end of a run, and reports whether the task is done or has
--- a/leader/agent.go
+++ b/leader/agent.go
@@ -57,6 +57,11 @@
 	clockOffset    time.Duration
 	hasClockOffset bool
 	failures       failureTracker
+	// earlyLosses are runs that were lost soon after their start at the worker, which has not
+	// answered since.
+	earlyLosses []earlyLoss
+	// agentRestarts counts how often the agent's process was restarted in this term.
+	agentRestarts int
 	// leavesAt is until when a leaving worker stays at least.
 	leavesAt time.Time
 }
--- a/leader/crash.go
+++ b/leader/crash.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/fence"
 	"hemlockhinge/graph"
 	"hemlockhinge/pause"
 )
@@ -18,7 +19,6 @@
 	}
 	j.progressVersion++
 	j.crashVersion = j.progressVersion
-	j.hasCrashes = true
 	pause.Wake(t.flushNow)
 	t.requestPass()
 	t.log.WithFields(logrus.Fields{
@@ -30,12 +30,14 @@
 	}).Warn("run_crashed_worker")
 }
 
+// survivalTime is how long after its start a run that progresses has not crashed its worker. A
+// report may be that much older than it is, and an agent goes on listing the runs of a worker
+// that does not answer, without progress.
+const survivalTime = 2 * fence.CrashWindow
+
 // recordSurvival records that an attempt at a task works and has not crashed its worker. The
 // members of a gang work only together.
 func (j *job) recordSurvival(k graph.Task, attempt int) {
-	if !j.hasCrashes {
-		return
-	}
 	first, last := k.Index, k.Index
 	if s := j.Steps[k.Step]; s.Gang {
 		first, last = 0, s.Count-1
@@ -46,19 +48,19 @@
 			j.progressVersion++
 		}
 	}
-	j.hasCrashes = j.progress.HasCrashes()
 }
 
-// hasSuspect reports whether a task is suspected to crash its workers.
-func (j *job) hasSuspect(tasks []graph.Task) bool {
-	return slices.ContainsFunc(tasks, func(k graph.Task) bool { return j.progress.Task(j.Job, k).Suspect() })
+// hasSuspect reports whether a task is suspected to crash its workers, if those of its early
+// losses have crashed.
+func (j *job) hasSuspect(tasks []graph.Task, earlyLosses map[graph.Task]int) bool {
+	return slices.ContainsFunc(tasks, func(k graph.Task) bool { return j.progress.Task(j.Job, k).SuspectAfter(earlyLosses[k]) })
 }
 
 // startedSuspect reports whether a task that is suspected to crash its workers was started
 // at the worker within apartTime.
-func (m *agentState) startedSuspect(t *term, now time.Time) bool {
-	for k, r := range m.runs {
-		if j := t.jobs[k.Job]; j != nil && now.Sub(r.startedAt) < apartTime && j.hasSuspect([]graph.Task{k}) {
+func (m *agentState) startedSuspect(now time.Time) bool {
+	for _, r := range m.runs {
+		if r.apart && now.Sub(r.startedAt) < apartTime {
 			return true
 		}
 	}
--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -28,7 +28,7 @@
 		v := newReportTest()
 		for i, want := range []bool{true, false} {
 			v.term.applyReport(v.agent, 1, v.crashReport(uint64(i+2), i+1), false)
-			if got := v.job.startable(testTask, time.Now()); got != want {
+			if got := v.job.startable(testTask, 0, time.Now()); got != want {
 				t.Errorf("startable after crash %d: %t, not %t", i+1, got, want)
 			}
 		}
@@ -37,7 +37,7 @@
 			t.Fatalf("%d changes to store, error %v", len(l), err)
 		}
 		v.term.markRecorded(l, 1)
-		if !v.job.startable(testTask, time.Now()) {
+		if !v.job.startable(testTask, 0, time.Now()) {
 			t.Error("not startable although the crashes are in the store")
 		}
 		v.term.applyReport(v.agent, 1, v.crashReport(4, 3), false)
@@ -67,12 +67,17 @@
 			Percent: 1,
 		}
 		v.term.applyReport(v.agent, 1, v.report(2, 1001, working), false)
-		if !v.job.hasSuspect([]graph.Task{other}) {
+		if !v.job.hasSuspect([]graph.Task{other}, nil) {
 			t.Error("the other member is no suspect although the gang has just started")
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(survivalTime + time.Millisecond)
 		v.term.applyReport(v.agent, 1, v.report(3, 3001, working), false)
-		if v.job.hasSuspect([]graph.Task{other}) {
+		if !v.job.hasSuspect([]graph.Task{other}, nil) {
+			t.Error("the other member is no suspect although the gang has not progressed")
+		}
+		working.Percent = 2
+		v.term.applyReport(v.agent, 1, v.report(4, 3002, working), false)
+		if v.job.hasSuspect([]graph.Task{other}, nil) {
 			t.Error("the other member is a suspect although the gang works")
 		}
 	})
--- a/leader/inputs.go
+++ b/leader/inputs.go
@@ -96,7 +96,6 @@
 		}
 		p.Restore(j.Job)
 		j.progress = p
-		j.hasCrashes = p.HasCrashes()
 		j.publishedState = p.State
 		j.storedRevision = i.Revision
 	}
--- a/leader/job.go
+++ b/leader/job.go
@@ -26,10 +26,8 @@
 	// store.
 	progressVersion uint64
 	storedVersion   uint64
-	// crashVersion is the version of progress that has the newest crash of a worker, and
-	// hasCrashes means that there are crashes that no attempt has survived since.
+	// crashVersion is the version of progress that has the newest crash of a worker.
 	crashVersion uint64
-	hasCrashes   bool
 	// storedRevision is the revision of the progress in the store, 0 for none.
 	storedRevision uint64
 	// publishedState is the last state that is known to be in the store.
@@ -96,6 +94,14 @@
 	agent   *agentState
 	size    graph.Size
 	phase   runPhase
+	// incarnation of the worker and agentRestarts of the agent are those at the start; 0 if
+	// an earlier term has started the run.
+	incarnation   int64
+	agentRestarts int
+	// apart means that a task of the unit is suspected to crash its workers.
+	apart bool
+	// survived means that the run has progressed after survivalTime.
+	survived bool
 	// startUnconfirmed means that the reply to the start was lost.
 	startUnconfirmed bool
 	// session is the number of the session in which the start was requested, and
--- a/leader/launch.go
+++ b/leader/launch.go
@@ -36,7 +36,11 @@
 			size:       p.Unit.Step.Size,
 			startedAt:  now,
 			checkpoint: v.Checkpoint,
-			resumed:    checkpointFor(j, k) != "",
+
+			apart:         p.Unit.Apart,
+			incarnation:   agents[p.At[i]].worker.Born,
+			agentRestarts: agents[p.At[i]].agentRestarts,
+			resumed:       checkpointFor(j, k) != "",
 		}
 		j.runs[k] = r
 		r.agent.runs[k] = r
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -110,7 +110,7 @@
 			RunsLatencyTasks: m.runsStep(t, func(s *graph.Step) bool { return s.TailLatencyTarget > 0 }),
 			RunsBestEffort:   m.runsStep(t, func(s *graph.Step) bool { return s.BestEffort }),
 			Unschedulable:    m.peer == nil || !m.accountedFor || !m.acceptsTasks || !f.Known || f.Leaving || f.Gone || out[f.Zone] || d >= blockedScore,
-			KeepApart:        m.startedSuspect(t, now),
+			KeepApart:        m.startedSuspect(now),
 			Leaving:          f.Leaving,
 			LeavesIn:         max(m.leavesAt.Sub(now), 0),
 			FailureScore:     d,
--- a/leader/report.go
+++ b/leader/report.go
@@ -5,7 +5,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"hemlockhinge/fence"
 	"hemlockhinge/graph"
 	"hemlockhinge/pause"
 	"hemlockhinge/wire"
@@ -46,6 +45,7 @@
 		m.accountedFor = true
 		t.removeUnlistedRuns(m, s, listed)
 	}
+	t.resolveEarlyLosses(m)
 	m.acknowledgeEnds()
 	if opening || m.condition() != before {
 		t.requestPass()
@@ -155,15 +155,16 @@
 		return
 	}
 	r.checkpoint = v.Saved
+	if !r.survived && v.Percent > r.progress.percent && time.Since(r.startedAt) > survivalTime {
+		r.survived = true
+		j.recordSurvival(k, v.Attempt)
+	}
 	r.progress.observe(v.Percent, time.Now())
 	if r.startUnconfirmed && !v.Uncertain {
 		r.startUnconfirmed = false
 		r.phase = running
 	}
 	if p := j.progress.Task(j.Job, k); p != nil {
-		if v.Percent > 0 && time.Since(r.startedAt) > fence.CrashWindow {
-			j.recordSurvival(k, v.Attempt)
-		}
 		p.Attempt = max(p.Attempt, v.Attempt)
 		if v.Saved != "" {
 			p.Checkpoint = v.Saved
@@ -267,6 +268,9 @@
 		return
 	}
 	delete(j.runs, r.task)
+	if m.peer == nil || !m.acceptsTasks || m.worker.Born != r.incarnation {
+		t.recordEarlyLoss(m, r)
+	}
 	t.log.WithFields(logrus.Fields{
 		"task":       r.task.String(),
 		"attempt":    r.attempt,
--- a/leader/session.go
+++ b/leader/session.go
@@ -110,6 +110,9 @@
 	m.reportSeq = 0
 	m.lastAcknowledgedEnd = 0
 	m.lastContact = time.Now()
+	if s.AgentMS < m.agentClockMS {
+		m.agentRestarts++
+	}
 	m.agentClockMS = s.AgentMS
 	for _, r := range m.runs {
 		// The first report of a session includes all earlier starts.
--- a/leader/units.go
+++ b/leader/units.go
@@ -30,7 +30,9 @@
 	agents      []*agentState
 	// capacity is the total capacity of each service.
 	capacity map[string]graph.Size
-	units    []alloc.Unit
+	// earlyLosses is as countEarlyLosses returns it.
+	earlyLosses map[graph.Task]int
+	units       []alloc.Unit
 }
 
 // startableUnits returns the units that may start now. While an agent is unaccounted
@@ -45,6 +47,7 @@
 		capacity:    capacity,
 	}
 	unaccounted := t.hasUnaccountedAgents()
+	l.earlyLosses = t.countEarlyLosses(now)
 	for _, j := range t.jobs {
 		if j.schedulable() && (!unaccounted || j.revision >= t.leadership.epoch) {
 			l.addJob(j)
@@ -76,7 +79,7 @@
 // one.
 func (l *unitLister) addStep(j *job, q *policy.Queue, occurrence, step int) {
 	s := &j.Steps[step]
-	tasks, active := j.startableTasks(occurrence, step, l.now)
+	tasks, active := j.startableTasks(occurrence, step, l.earlyLosses, l.now)
 	switch {
 	case len(tasks) == 0 || !j.progress.StepReady(j.Job, occurrence, step):
 		return
@@ -122,7 +125,7 @@
 
 // add adds a unit. One with a suspect stops no others: its workers may crash.
 func (l *unitLister) add(j *job, u alloc.Unit) {
-	if j.hasSuspect(u.Tasks) {
+	if j.hasSuspect(u.Tasks, l.earlyLosses) {
 		u.Apart = true
 		u.NoPreemption = true
 	}
@@ -139,7 +142,7 @@
 
 // startableTasks returns the tasks of a step that may be started, and how many run or
 // are being started.
-func (j *job) startableTasks(occurrence, step int, now time.Time) (tasks []graph.Task, active int) {
+func (j *job) startableTasks(occurrence, step int, earlyLosses map[graph.Task]int, now time.Time) (tasks []graph.Task, active int) {
 	for i := range j.Steps[step].Count {
 		k := graph.Task{
 			Job:        j.ID,
@@ -150,7 +153,7 @@
 		switch {
 		case j.runs[k] != nil:
 			active++
-		case j.startable(k, now):
+		case j.startable(k, earlyLosses[k], now):
 			tasks = append(tasks, k)
 		}
 	}
@@ -158,10 +161,15 @@
 }
 
 // startable reports whether a task without a run may be started. A suspect waits until the
-// crashes of its workers are in the store: no later scheduler may start it as often again.
-func (j *job) startable(k graph.Task, now time.Time) bool {
+// crashes of its workers are in the store: no later scheduler may start it as often again. A
+// task that would be given up if the workers of its early losses have crashed waits until
+// their fate is known.
+func (j *job) startable(k graph.Task, earlyLosses int, now time.Time) bool {
 	v := j.progress.Task(j.Job, k)
-	if v.Suspect() && j.crashVersion > j.storedVersion {
+	if v.SuspectAfter(0) && j.crashVersion > j.storedVersion {
+		return false
+	}
+	if earlyLosses > 0 && v.GivenUpAfter(earlyLosses) {
 		return false
 	}
 	return !v.Done && !now.Before(j.retryAfter[k])
