--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -422,3 +422,53 @@
 	time.Sleep(settleTime)
 	return s.submitAndRun()
 }
+
+// timedJobs: jobs with due times and jobs of several steps run while the scheduler and agents
+// are killed one after the other.
+func timedJobs(s *system, trouble bool) error {
+	const (
+		repeats  = 8
+		interval = 2 * time.Second
+		earliest = 250 * time.Millisecond
+	)
+	if err := s.boot(3, 8, nil); err != nil {
+		return err
+	}
+	first := time.Now().Add(interval)
+	timed := smallJob
+	timed.StartAtMs = first.UnixMilli()
+	timed.RepeatCount = repeats
+	timed.IntervalMs = float64(interval.Milliseconds())
+	timed.Phases = []step{smallJob.Phases[0], smallJob.Phases[0]}
+	timed.Phases[0].Count = 3
+	timed.Phases[1].After = []int{0}
+	var ids []string
+	for range 3 {
+		id, err := s.submitOnce(prefix, timed)
+		if err != nil {
+			return err
+		}
+		ids = append(ids, id)
+	}
+	for i := 0; trouble && i < 11; i++ {
+		time.Sleep(interval)
+		if err := s.killAndRestart((i*4)%11, 300*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	for _, id := range ids {
+		if !s.waitDone(id, 30*time.Second) {
+			return broken("LOST", "job %s with due times did not complete", id)
+		}
+		for _, r := range s.ran.of(id) {
+			k, step := 0, 0
+			if _, err := fmt.Sscanf(r.task[len(id):], ".%d.%d.", &k, &step); err != nil {
+				return err
+			}
+			if due := first.Add(time.Duration(k) * interval); r.begun.Before(due.Add(-earliest)) {
+				return broken("ORDER", "task %s was started %s before its time", r.task, due.Sub(r.begun))
+			}
+		}
+	}
+	return s.mustRunOnce()
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -59,6 +59,7 @@
 	"queue-renamed":             queueRenamed,
 	"foreign-heartbeat-same-id": foreignHeartbeatSameID,
 	"many-jobs":                 manyJobs,
+	"timed-jobs":                timedJobs,
 	"huge-job":                  hugeJob,
 }
 
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -393,8 +393,11 @@
 
 // job is the body of a submission.
 type job struct {
-	Spec   string
-	Phases []step
+	Spec        string
+	Phases      []step
+	StartAtMs   int64   `json:",omitempty"`
+	RepeatCount int     `json:",omitempty"`
+	IntervalMs  float64 `json:",omitempty"`
 }
 
 // step is a step of a job.
