Log and measure by how old a configuration requests are resolved

Now each of these is logged as request_resolved with the version, the revision and the age of the copy, and configuration_age_seconds has the age for all requests.

--- a/intake/confirm.go
+++ b/intake/confirm.go
@@ -94,6 +94,13 @@
 	return d.config, d.config != nil && time.Since(d.confirmedAt) <= age
 }
 
+// configAge returns how long ago the store confirmed the configuration.
+func (d *Intake) configAge() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.confirmedAt)
+}
+
 // currentConfig returns a configuration that the store confirmed within
 // ConfirmAge, or within MaxAge while the store does not answer.
 func (d *Intake) currentConfig(c context.Context) (*policy.Config, *Error) {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -261,7 +261,27 @@
 	if e != nil {
 		return nil, e
 	}
-	return resolve(g, v)
+	t, err := resolve(g, v)
+	d.recordDecision(v, g, err)
+	return t, err
+}
+
+// recordDecision records by which configuration a request was resolved, in the log if it was
+// refused or if the store had not confirmed that configuration recently.
+func (d *Intake) recordDecision(v Request, g *policy.Config, err error) {
+	age := d.configAge()
+	d.ports.Meter.ConfigAge(age)
+	if err == nil && age <= ConfirmAge {
+		return
+	}
+	d.ports.Log.WithError(err).WithFields(logrus.Fields{
+		"host":     v.Host,
+		"path":     v.Path,
+		"queue":    v.Queue,
+		"version":  g.Version,
+		"revision": g.Revision,
+		"age_ms":   age.Milliseconds(),
+	}).Info("request_resolved")
 }
 
 func resolve(g *policy.Config, v Request) (*ResolvedRequest, error) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -34,6 +34,7 @@
 	lagSeconds        prometheus.Histogram
 	settingsAge       prometheus.Gauge
 	orderAgeSeconds   prometheus.Histogram
+	configAgeSeconds  prometheus.Histogram
 	workerCrashes     prometheus.Counter
 }
 
@@ -62,7 +63,8 @@
 			Name:      "operator_settings_age_seconds",
 			Help:      "Age of the operators' settings at the scheduler's last pass.",
 		}),
-		orderAgeSeconds: plainHistogram("start_order_age_seconds", "Age of the scheduler's start orders when the agent carries them out."),
+		configAgeSeconds: plainHistogram("configuration_age_seconds", "Time since the store confirmed the configuration by which a caller's request was resolved."),
+		orderAgeSeconds:  plainHistogram("start_order_age_seconds", "Age of the scheduler's start orders when the agent carries them out."),
 		workerCrashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "worker_crashes_total",
@@ -74,7 +76,7 @@
 			Help:      "Log lines beyond the budget.",
 		}),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.orderAgeSeconds, m.workerCrashes)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes)
 	return m
 }
 
@@ -154,6 +156,13 @@
 	}
 }
 
+// ConfigAge records how old the configuration is by which a caller's request is resolved.
+func (m *Meter) ConfigAge(d time.Duration) {
+	if m != nil {
+		m.configAgeSeconds.Observe(d.Seconds())
+	}
+}
+
 // OrderAge records how old an order to start a task is when the agent carries it out.
 func (m *Meter) OrderAge(d time.Duration) {
 	if m != nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -45,8 +45,9 @@
 	}
 }
 
-// cases are the scripts by name. Those in the first group belong to the review's cases; the
-// others are further findings, and trials that found nothing.
+// cases are the scripts by name. Those in the first group belong to the review's cases, those
+// in the second are further findings, and trials that found nothing. The last are seeded runs
+// of random disruptions.
 var cases = map[string]func(s *system, trouble bool) error{
 	"zone-apart":        zoneApart,
 	"many-ends":         manyEnds,
@@ -61,6 +62,8 @@
 	"many-jobs":                 manyJobs,
 	"timed-jobs":                timedJobs,
 	"huge-job":                  hugeJob,
+
+	"changes": changes,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"hemlockhinge/platform/stand"
@@ -103,6 +104,9 @@
 platform.TtlMinMs=1000
 `
 
+// shutdownGrace is the time between SIGTERM and SIGKILL (GraceS).
+const shutdownGrace = 6 * time.Second
+
 var zones = []string{"split-a", "split-b", "kastela"}
 
 // system is a small deployment: its store, its workers and the daemons as processes.
@@ -118,6 +122,8 @@
 	http    http.Client
 	// zoned means that the zones reach each other and the store through links.
 	zoned bool
+	// links, if set, carry the traffic of each machine.
+	links *machineLinks
 	// askAt is the entry that is asked for states.
 	askAt int
 	// renamed is added to the names of the routes in the configuration.
@@ -313,7 +319,10 @@
 	path := filepath.Join(s.dir, node+".conf")
 	ip := fmt.Sprintf("%s.%d", s.network, host)
 	store := s.addr(storeHost, storePort)
-	if s.zoned {
+	switch {
+	case s.links != nil:
+		store = s.links.view(host, storeHost, storePort)
+	case s.zoned:
 		store = s.storeView(slices.Index(zones, zone))
 	}
 	t := fmt.Sprintf(settingsText, node, class, ip, zone, extra, store)
@@ -347,17 +356,40 @@
 
 // killAndRestart kills a process and starts it again after a pause.
 func (s *system) killAndRestart(i int, pause time.Duration) error {
+	s.stopProcess(i, syscall.SIGKILL)
+	time.Sleep(pause)
+	return s.startAgain(i)
+}
+
+// processOf returns the process with an index.
+func (s *system) processOf(i int) *os.Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.processes[i].Process
+}
+
+// stopProcess sends a signal to a process, kills it after shutdownGrace if it still runs, and
+// waits for its end.
+func (s *system) stopProcess(i int, n syscall.Signal) {
 	s.mu.Lock()
-	p, c, f := s.processes[i], s.commands[i], s.logs[i]
+	p, c := s.processes[i], s.commands[i]
 	s.mu.Unlock()
-	s.record.note("kill %s", filepath.Base(c[1]))
-	_ = p.Process.Kill()
+	s.record.note("%s for %s", n, filepath.Base(c[1]))
+	_ = p.Process.Signal(n)
+	kill := time.AfterFunc(shutdownGrace, func() { _ = p.Process.Kill() })
+	defer kill.Stop()
 	_ = p.Wait()
-	time.Sleep(pause)
-	n, err := s.run(c[0], c[1], f)
+}
+
+// startAgain starts a process that was stopped.
+func (s *system) startAgain(i int) error {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	n, err := s.run(s.commands[i][0], s.commands[i][1], s.logs[i])
 	s.processes[i] = n
-	s.mu.Unlock()
 	return err
 }
 
--- /dev/null
+++ b/review/rig/troubles.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// troubles causes random disruptions, and knows which entries are in touch.
+type troubles struct {
+	sys   *system
+	links *machineLinks
+	rng   *rand.Rand
+	// process holds the index of each entry's process.
+	process []int
+
+	mu sync.Mutex
+	// active counts the disruptions of an entry; everybody stands for the store and for
+	// connections of all machines.
+	active map[int]int
+	endAt  map[int]time.Time
+	lives  map[int]int
+	gone   map[int]bool
+}
+
+// everybody stands for all entries.
+const everybody = -1
+
+// begin and end mark a disruption of an entry, or of everybody.
+func (t *troubles) begin(entry int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.active[entry]++
+}
+
+func (t *troubles) end(entry int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.active[entry]--
+	t.endAt[entry] = time.Now()
+}
+
+// calm reports whether an entry and the store have been without disruption for the stable
+// window.
+func (t *troubles) calm(entry int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, k := range []int{entry, everybody} {
+		if t.active[k] > 0 || time.Since(t.endAt[k]) < stableWindow {
+			return false
+		}
+	}
+	return !t.gone[entry]
+}
+
+// incarnation returns how often an entry's process has been started again.
+func (t *troubles) incarnation(entry int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lives[entry]
+}
+
+func (t *troubles) newLife(entry int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lives[entry]++
+}
+
+// kind is one kind of disruption, of an entry or of everybody.
+type kind struct {
+	name string
+	all  bool
+	run  func(t *troubles, c context.Context, entry int, d time.Duration)
+}
+
+// sleep waits for d, or until c ends.
+func sleep(c context.Context, d time.Duration) {
+	select {
+	case <-c.Done():
+	case <-time.After(d):
+	}
+}
+
+// kinds are the disruptions that a run draws from.
+var kinds = []kind{
+	{"store cut off, silent", false, func(t *troubles, c context.Context, e int, d time.Duration) {
+		t.cut(c, e, d, linkSilent, linkUp)
+	}},
+	{"store cut off, reset", false, func(t *troubles, c context.Context, e int, d time.Duration) {
+		t.cut(c, e, d, linkReset, linkUp)
+	}},
+	{"store refuses", false, func(t *troubles, c context.Context, e int, d time.Duration) {
+		t.cut(c, e, d, linkBusy, linkUp)
+	}},
+	{"cut off from all", false, func(t *troubles, c context.Context, e int, d time.Duration) {
+		t.cut(c, e, d, linkSilent, linkSilent)
+	}},
+	{"paused", false, (*troubles).pause},
+	{"killed", false, func(t *troubles, c context.Context, e int, d time.Duration) {
+		t.kill(c, e, d, syscall.SIGKILL, false)
+	}},
+	{"without power", false, func(t *troubles, c context.Context, e int, d time.Duration) {
+		t.kill(c, e, d, syscall.SIGKILL, true)
+	}},
+	{"stopped", false, func(t *troubles, c context.Context, e int, d time.Duration) {
+		t.kill(c, e, d, syscall.SIGTERM, false)
+	}},
+	{"settings changed", false, (*troubles).changeSettings},
+	{"connections dead", true, (*troubles).killConns},
+	{"store down, 503", true, func(t *troubles, c context.Context, _ int, d time.Duration) {
+		t.sys.store.SetUnavailable(true, "")
+		sleep(c, d)
+		t.sys.store.SetUnavailable(false, "")
+	}},
+	{"store down, silent", true, func(t *troubles, c context.Context, _ int, d time.Duration) {
+		t.sys.store.SetUnresponsive(true, "")
+		sleep(c, d)
+		t.sys.store.SetUnresponsive(false, "")
+	}},
+	{"store slow", true, func(t *troubles, c context.Context, _ int, d time.Duration) {
+		t.sys.store.SetExtraLatency(time.Duration(100+t.draw(300)) * time.Millisecond)
+		sleep(c, d)
+		t.sys.store.SetExtraLatency(0)
+	}},
+	{"store loses answers", true, func(t *troubles, c context.Context, _ int, d time.Duration) {
+		t.sys.store.LoseAnswers(3, time.Second)
+		sleep(c, d)
+		t.sys.store.LoseAnswers(0, 0)
+	}},
+	{"store compacted", true, func(t *troubles, _ context.Context, _ int, _ time.Duration) { t.sys.store.Compact() }},
+}
+
+// draw returns a random number below n.
+func (t *troubles) draw(n int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rng.IntN(n)
+}
+
+// run causes disruptions, some of them at the same time, until c ends.
+func (t *troubles) run(c context.Context, only string) {
+	const (
+		minPause, maxPause = 500, 6000
+		minTime, maxTime   = 300, 6000
+	)
+	var w sync.WaitGroup
+	defer w.Wait()
+	for {
+		sleep(c, time.Duration(minPause+t.draw(maxPause-minPause))*time.Millisecond)
+		if c.Err() != nil {
+			return
+		}
+		k := kinds[t.draw(len(kinds))]
+		if only != "" && !strings.Contains(k.name, only) {
+			continue
+		}
+		e := t.draw(len(t.process))
+		d := time.Duration(minTime+t.draw(maxTime-minTime)) * time.Millisecond
+		mark := e
+		if k.all {
+			mark = everybody
+		}
+		t.begin(mark)
+		t.sys.record.note("begins: %s, entry %d, %s", k.name, mark+1, d)
+		w.Go(func() {
+			k.run(t, c, e, d)
+			t.end(mark)
+			t.sys.record.note("over: %s, entry %d", k.name, mark+1)
+		})
+	}
+}
+
+func (t *troubles) cut(c context.Context, entry int, d time.Duration, store, peers linkState) {
+	t.links.set(firstEntry+entry, store, peers)
+	sleep(c, d)
+	t.links.set(firstEntry+entry, linkUp, linkUp)
+}
+
+func (t *troubles) pause(c context.Context, entry int, d time.Duration) {
+	p := t.sys.processOf(t.process[entry])
+	_ = p.Signal(syscall.SIGSTOP)
+	sleep(c, d)
+	_ = p.Signal(syscall.SIGCONT)
+}
+
+// kill ends an entry's process by a signal and starts it again. Without power its links are
+// silent meanwhile.
+func (t *troubles) kill(c context.Context, entry int, d time.Duration, n syscall.Signal, dark bool) {
+	t.mu.Lock()
+	if t.gone[entry] {
+		t.mu.Unlock()
+		return
+	}
+	t.gone[entry] = true
+	t.mu.Unlock()
+	if dark {
+		t.links.set(firstEntry+entry, linkSilent, linkSilent)
+	}
+	t.sys.stopProcess(t.process[entry], n)
+	t.newLife(entry)
+	sleep(c, d)
+	if dark {
+		t.links.set(firstEntry+entry, linkUp, linkUp)
+	}
+	if err := t.sys.startAgain(t.process[entry]); err != nil {
+		t.sys.record.note("entry %d does not start: %v", entry+1, err)
+	}
+	t.mu.Lock()
+	t.gone[entry] = false
+	t.mu.Unlock()
+}
+
+// changeSettings adds an unknown field to an entry's settings file and sends SIGHUP.
+func (t *troubles) changeSettings(_ context.Context, entry int, d time.Duration) {
+	t.sys.mu.Lock()
+	path := t.sys.commands[t.process[entry]][1]
+	t.sys.mu.Unlock()
+	b, err := os.ReadFile(path) //nolint:gosec // in the rig's own folder
+	if err != nil {
+		return
+	}
+	b = fmt.Appendf(b, "New.Field=%d\n", d)
+	const ownerOnly = 0o600
+	_ = os.WriteFile(path, b, ownerOnly) //nolint:gosec // in the rig's own folder
+	if d > time.Second {
+		_ = t.sys.processOf(t.process[entry]).Signal(syscall.SIGHUP)
+	}
+}
+
+// killConns makes some open connections of all machines dead, without a reset.
+func (t *troubles) killConns(_ context.Context, _ int, _ time.Duration) {
+	const percent = 100
+	share := 30 + t.draw(percent-30)
+	n := t.links.killConns(func() bool { return t.draw(percent) < share })
+	t.sys.record.note("%d open connections are dead", n)
+}
--- a/review/rig/zones.go
+++ b/review/rig/zones.go
@@ -182,17 +182,7 @@
 		Scheme: "http",
 		Host:   z.sys.addr(storeHost, storePort),
 	})
-	p.ModifyResponse = func(r *http.Response) error {
-		b, err := io.ReadAll(r.Body)
-		if err != nil {
-			return err
-		}
-		b = []byte(addresses.Replace(string(b)))
-		r.Body = io.NopCloser(bytes.NewReader(b))
-		r.ContentLength = int64(len(b))
-		r.Header.Set("Content-Length", strconv.Itoa(len(b)))
-		return nil
-	}
+	p.ModifyResponse = rewriteBody(addresses)
 	h := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if l.silent() {
@@ -215,6 +205,21 @@
 	return nil
 }
 
+// rewriteBody returns a function that replaces strings in the body of a response.
+func rewriteBody(n *strings.Replacer) func(*http.Response) error {
+	return func(r *http.Response) error {
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			return err
+		}
+		b = []byte(n.Replace(string(b)))
+		r.Body = io.NopCloser(bytes.NewReader(b))
+		r.ContentLength = int64(len(b))
+		r.Header.Set("Content-Length", strconv.Itoa(len(b)))
+		return nil
+	}
+}
+
 // heldAnswer holds an answer back until it is known whether the zone is cut off.
 type heldAnswer struct {
 	header http.Header
