--- a/review/rig/changes.go
+++ b/review/rig/changes.go
@@ -34,7 +34,7 @@
 	)
 	seed := uint64(environment("SEED", 1)) //nolint:gosec // any number will do
 	entries, agents := environment("ENTRIES", defaultEntries), environment("AGENTS", defaultAgents)
-	s.record.note("seed %d, %d entries, %d agents", seed, entries, agents)
+	s.record.note("seed %d, %d entries, %d agents, logs in %s", seed, entries, agents, s.dir)
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) } //nolint:gosec // no secret
 	o := &operator{
 		sys: s,
--- a/review/rig/troubles.go
+++ b/review/rig/troubles.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -142,23 +143,23 @@
 	return t.rng.IntN(n)
 }
 
-// run causes disruptions, some of them at the same time, until c ends.
+// run causes disruptions whose names contain only, some of them at the same time, until c
+// ends.
 func (t *troubles) run(c context.Context, only string) {
 	const (
 		minPause, maxPause = 500, 6000
 		minTime, maxTime   = 300, 6000
 	)
+	l := slices.Clone(kinds)
+	l = slices.DeleteFunc(l, func(k kind) bool { return !strings.Contains(k.name, only) })
 	var w sync.WaitGroup
 	defer w.Wait()
-	for {
+	for len(l) > 0 {
 		sleep(c, time.Duration(minPause+t.draw(maxPause-minPause))*time.Millisecond)
 		if c.Err() != nil {
 			return
 		}
-		k := kinds[t.draw(len(kinds))]
-		if only != "" && !strings.Contains(k.name, only) {
-			continue
-		}
+		k := l[t.draw(len(l))]
 		e := t.draw(len(t.process))
 		d := time.Duration(minTime+t.draw(maxTime-minTime)) * time.Millisecond
 		mark := e
