Answer callers only by a configuration as young as a change may take

What callers saw: after a change was confirmed, requests with a key that it takes away were answered with success for up to 3 s, though it has to be in force after 2 s.

Cause: the limit of age for the copy of the configuration, used while the store gives a process no answer, came from the bound for revoked keys alone (0.6 of 5 s). The class: a promise kept by a constant of another promise.

It was not seen on real processes in touch; by reading, a process that gets no answer for a second while nothing else is wrong is enough.

Now the limit is the smaller of both bounds, and a copy is confirmed again after 0.6 of it, so that a deployment with shorter bounds keeps them as well. The age counts from the arrival of a request: what was sent by then needs no younger copy.

--- a/intake/confirm.go
+++ b/intake/confirm.go
@@ -15,8 +15,11 @@
 
 const (
 	// ConfirmAge is how long after the store last confirmed the configuration
-	// requests are answered without confirming it again.
+	// requests are answered without confirming it again, unless Settings.MaxAge is short.
 	ConfirmAge = 1200 * time.Millisecond
+	// confirmAgeShare is the part of Settings.MaxAge after which a configuration is confirmed
+	// again. The rest is for attempts of which the first may fail.
+	confirmAgeShare = 0.6
 	// downConfirmInterval is the pause between attempts while the store does not answer.
 	downConfirmInterval = 300 * time.Millisecond
 	// minConfirmPause is the shortest pause between two attempts while the store answers.
@@ -78,12 +81,21 @@
 	}
 }
 
+// confirmAge returns how long after the last confirmation of the configuration requests are
+// answered without confirming it again.
+func (d *Intake) confirmAge() time.Duration {
+	if a := d.settings.MaxAge; a > 0 {
+		return min(ConfirmAge, time.Duration(confirmAgeShare*float64(a)))
+	}
+	return ConfirmAge
+}
+
 // confirmInterval returns how often the operators' objects are confirmed.
 func (d *Intake) confirmInterval() time.Duration {
 	if a := d.settings.MaxObjectsAge; a > 0 {
-		return min(ConfirmAge, a/confirmsPerAge)
+		return min(d.confirmAge(), a/confirmsPerAge)
 	}
-	return ConfirmAge
+	return d.confirmAge()
 }
 
 // configConfirmedWithin returns the configuration, and whether the store
@@ -101,11 +113,13 @@
 	return time.Since(d.confirmedAt)
 }
 
-// currentConfig returns a configuration that the store confirmed within
-// ConfirmAge, or within MaxAge while the store does not answer.
+// currentConfig returns a configuration that the store has confirmed within confirmAge, or,
+// while the store does not answer, within MaxAge of the arrival of the request.
 func (d *Intake) currentConfig(c context.Context) (*policy.Config, *Error) {
-	err := d.confirmConfig(c, ConfirmAge, d.patience())
-	v, ok := d.configConfirmedWithin(max(ConfirmAge, d.settings.MaxAge))
+	arrivedAt := time.Now()
+	err := d.confirmConfig(c, d.confirmAge(), d.patience())
+	waited := time.Since(arrivedAt)
+	v, ok := d.configConfirmedWithin(max(d.confirmAge(), d.settings.MaxAge) + waited)
 	switch {
 	case ok:
 		return v, nil
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,7 +5,8 @@
 // the configuration which allowed the job still being the newest one, so a
 // revoked API key cannot submit a job, however old this process's copy of the
 // configuration is. Other requests are answered from a copy that was confirmed
-// within ConfirmAge, or within Settings.MaxAge while the store does not answer.
+// within ConfirmAge, or within Settings.MaxAge while the store does not answer: a change
+// is in force everywhere after that time, whatever becomes of the store and the network.
 //
 // # Usage
 //
@@ -65,8 +66,9 @@
 
 // Settings of an Intake.
 type Settings struct {
-	// MaxAge is how long after the store last confirmed the configuration
-	// requests are still answered while the store does not answer.
+	// MaxAge is how long after the store last confirmed the configuration requests are
+	// still answered while the store does not answer. It must not exceed the time within
+	// which a change of the configuration must be in force.
 	MaxAge time.Duration
 	// MaxObjectsAge is how long after the store last confirmed the operators' objects
 	// the scheduler in this process still starts tasks; 0 means that there is no limit.
@@ -271,7 +273,7 @@
 func (d *Intake) recordDecision(v Request, g *policy.Config, err error) {
 	age := d.configAge()
 	d.ports.Meter.ConfigAge(age)
-	if err == nil && age <= ConfirmAge {
+	if err == nil && age <= d.confirmAge() {
 		return
 	}
 	d.ports.Log.WithError(err).WithFields(logrus.Fields{
