Count the time for which a machine was suspended in the age of the configuration

What callers would see: after a machine was suspended, an entry answers by the configuration from before, also requests with a key that was revoked meanwhile; a revoked key must not be served 5 s after its revocation, by any machine.

Cause: the age of the copy was taken from the monotonic clock, which stands still while a machine is suspended. The class: an age by a clock that stops. The scheduler's check of its settings knew of it and took the longer of the monotonic and the wall clock; the entry's did not.

TestSuspendedMachineKnowsThatItsConfigurationIsOld fails with the monotonic clock alone.

Package clock measures the time of suspensions (CLOCK_BOOTTIME less CLOCK_MONOTONIC) and adds it to ages.

--- a/intake/confirm.go
+++ b/intake/confirm.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/pause"
 	"hemlockhinge/policy"
 	"hemlockhinge/store"
@@ -57,8 +58,8 @@
 	switch {
 	case d.config == nil:
 		return fmt.Errorf("no configuration has been loaded yet")
-	case time.Since(d.confirmedAt) > maxReadyAge:
-		return fmt.Errorf("configuration last confirmed %s ago", time.Since(d.confirmedAt).Round(time.Millisecond))
+	case d.ports.Clock.Since(d.confirmedAt) > maxReadyAge:
+		return fmt.Errorf("configuration last confirmed %s ago", d.ports.Clock.Since(d.confirmedAt).Round(time.Millisecond))
 	}
 	return nil
 }
@@ -76,7 +77,7 @@
 			continue
 		}
 		d.mu.Lock()
-		wait = max(d.confirmInterval()-time.Since(d.confirmedAt), minConfirmPause)
+		wait = max(d.confirmInterval()-d.ports.Clock.Since(d.confirmedAt), minConfirmPause)
 		d.mu.Unlock()
 	}
 }
@@ -103,22 +104,22 @@
 func (d *Intake) configConfirmedWithin(age time.Duration) (*policy.Config, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.config, d.config != nil && time.Since(d.confirmedAt) <= age
+	return d.config, d.config != nil && d.ports.Clock.Since(d.confirmedAt) <= age
 }
 
 // configAge returns how long ago the store confirmed the configuration.
 func (d *Intake) configAge() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return time.Since(d.confirmedAt)
+	return d.ports.Clock.Since(d.confirmedAt)
 }
 
 // currentConfig returns a configuration that the store has confirmed within confirmAge, or,
 // while the store does not answer, within MaxAge of the arrival of the request.
 func (d *Intake) currentConfig(c context.Context) (*policy.Config, *Error) {
-	arrivedAt := time.Now()
+	arrivedAt := d.ports.Clock.Now()
 	err := d.confirmConfig(c, d.confirmAge(), d.patience())
-	waited := time.Since(arrivedAt)
+	waited := d.ports.Clock.Since(arrivedAt)
 	v, ok := d.configConfirmedWithin(max(d.confirmAge(), d.settings.MaxAge) + waited)
 	switch {
 	case ok:
@@ -147,7 +148,7 @@
 	if d.attempt != nil && time.Since(d.attempt.begun) >= answerTimeout {
 		return true
 	}
-	return !d.storeDownSince.IsZero() && time.Since(d.storeDownSince) > refusedRetryTime
+	return !d.storeDownSince.IsZero() && d.ports.Clock.Since(d.storeDownSince) > refusedRetryTime
 }
 
 // confirmConfig waits until the configuration was confirmed within age, an attempt to
@@ -202,7 +203,7 @@
 // one are applied. That is far cheaper than reading a configuration of a thousand queues,
 // which is done only if the store no longer knows the changes.
 func (d *Intake) confirmNow(c context.Context) error {
-	sentAt := time.Now()
+	sentAt := d.ports.Clock.Now()
 	err := d.objects.CatchUp(c)
 	var compacted *store.CompactedError
 	if errors.As(err, &compacted) {
@@ -222,21 +223,21 @@
 
 // markConfirmed records that the configuration was the newest one at the given
 // time.
-func (d *Intake) markConfirmed(at time.Time) {
+func (d *Intake) markConfirmed(at clock.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if at.After(d.confirmedAt) {
 		d.confirmedAt = at
 	}
 	if !d.storeDownSince.IsZero() {
-		d.ports.Log.WithFields(logrus.Fields{"reachable": true, "ms": time.Since(d.storeDownSince).Milliseconds()}).Info("store_reachability_changed")
+		d.ports.Log.WithFields(logrus.Fields{"reachable": true, "ms": d.ports.Clock.Since(d.storeDownSince).Milliseconds()}).Info("store_reachability_changed")
 	}
-	d.storeDownSince = time.Time{}
+	d.storeDownSince = clock.Time{}
 }
 
 // markUnavailable records that the store did not answer, or refused, a call made
 // at the given time. Errors of other kinds do not count.
-func (d *Intake) markUnavailable(at time.Time, err error) {
+func (d *Intake) markUnavailable(at clock.Time, err error) {
 	var u *store.UnavailableError
 	if !errors.As(err, &u) {
 		return
--- a/intake/confirm_test.go
+++ b/intake/confirm_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/intake"
 	"hemlockhinge/store"
 )
@@ -145,3 +146,29 @@
 		t.Errorf("requests were refused after %s, want within %s", took, most)
 	}
 }
+
+// TestSuspendedMachineKnowsThatItsConfigurationIsOld guards against answers by a copy of the
+// configuration from before the machine was suspended: the monotonic clock stands still
+// meanwhile, so that the copy seems as young as it was. A key may have been revoked since.
+func TestSuspendedMachineKnowsThatItsConfigurationIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &flakyStore{}
+		var suspended time.Duration
+		d := newIntakeWithClock(s, clock.New(func() time.Duration { return suspended }))
+		defer time.Sleep(2 * storeCallTime)
+		if err := submit(d); err != nil {
+			t.Fatal(err)
+		}
+		s.unanswering.Store(true)
+		if err := d.Ready(); err != nil {
+			t.Errorf("not ready right after a confirmation: %v", err)
+		}
+		suspended = 2 * callerTimeout
+		if _, err := d.Resolve(t.Context(), intake.Request{Host: "h", Path: "/p/1", APIKey: apiKey}); err == nil {
+			t.Error("a request is resolved by a configuration from before the machine was suspended")
+		}
+		if d.Ready() == nil {
+			t.Error("ready by a configuration from before the machine was suspended")
+		}
+	})
+}
--- a/intake/dump.go
+++ b/intake/dump.go
@@ -1,9 +1,6 @@
 package intake
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // Dump is the intake's state as shown to operators.
 type Dump struct {
@@ -25,7 +22,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	v := Dump{
-		ConfirmedMS: time.Since(d.confirmedAt).Milliseconds(),
+		ConfirmedMS: d.ports.Clock.Since(d.confirmedAt).Milliseconds(),
 		Ready:       ready,
 	}
 	if d.config != nil {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -25,6 +25,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/graph"
 	"hemlockhinge/leader"
 	"hemlockhinge/meter"
@@ -62,6 +63,8 @@
 	Leader  *leader.Leader
 	Log     *logrus.Entry
 	Meter   *meter.Meter
+	// Clock dates what the store has confirmed.
+	Clock clock.Clock
 }
 
 // Settings of an Intake.
@@ -103,7 +106,7 @@
 	e := errorf(http.StatusServiceUnavailable, "%s", detail)
 	e.RetryAfter = minRetryAfter
 	if !d.storeDownSince.IsZero() {
-		e.RetryAfter = min(max(time.Since(d.storeDownSince), minRetryAfter), maxRetryAfter)
+		e.RetryAfter = min(max(d.ports.Clock.Since(d.storeDownSince), minRetryAfter), maxRetryAfter)
 	}
 	return e
 }
@@ -146,11 +149,11 @@
 	outOfService map[string]bool
 	// confirmedAt is when the configuration was last known to be the newest, and
 	// objectsConfirmedAt is the same for all objects of the operators.
-	confirmedAt        time.Time
-	objectsConfirmedAt time.Time
+	confirmedAt        clock.Time
+	objectsConfirmedAt clock.Time
 	// storeDownSince is when the first of the store's present run of unanswered
 	// or refused calls was made; zero while the store answers.
-	storeDownSince time.Time
+	storeDownSince clock.Time
 	// attempt is the attempt to confirm the configuration that is in progress, or nil.
 	attempt *confirmAttempt
 	group   pause.Group
@@ -174,6 +177,7 @@
 		Log:    p.Log,
 
 		OnConfirmed: d.confirmObjects,
+		Clock:       p.Clock,
 	}
 	return d
 }
@@ -212,7 +216,7 @@
 
 // confirmObjects records that all changes of the operators' objects that were made before a
 // time are applied.
-func (d *Intake) confirmObjects(at time.Time) {
+func (d *Intake) confirmObjects(at clock.Time) {
 	d.mu.Lock()
 	if at.After(d.objectsConfirmedAt) {
 		d.objectsConfirmedAt = at
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/graph"
 	"hemlockhinge/intake"
 	"hemlockhinge/leader"
@@ -85,7 +86,9 @@
 	}, nil
 }
 
-func newIntake(s store.Committer) *intake.Intake {
+func newIntake(s store.Committer) *intake.Intake { return newIntakeWithClock(s, clock.Clock{}) }
+
+func newIntakeWithClock(s store.Committer, c clock.Clock) *intake.Intake {
 	l := logrus.New()
 	l.SetOutput(io.Discard)
 	g := logrus.NewEntry(l)
@@ -98,6 +101,7 @@
 		}, leader.Settings{}),
 		Log:   g,
 		Meter: meter.New(prometheus.NewRegistry()),
+		Clock: c,
 	}, intake.Settings{
 		MaxAge: callerTimeout,
 	})
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/graph"
 	"hemlockhinge/leader"
 	"hemlockhinge/pause"
@@ -207,7 +208,7 @@
 	if w.createOnly {
 		x.If = append(x.If, store.Precondition{Key: w.key})
 	}
-	sentAt := time.Now()
+	sentAt := d.ports.Clock.Now()
 	rev, err := d.ports.Store.Commit(c, x)
 	var f *store.TxnConflictError
 	var u *store.UnavailableError
@@ -229,7 +230,7 @@
 }
 
 // noteFailure records a call that failed, unless its caller has given up.
-func (d *Intake) noteFailure(c context.Context, sentAt time.Time, err error) {
+func (d *Intake) noteFailure(c context.Context, sentAt clock.Time, err error) {
 	if c.Err() == nil {
 		d.markUnavailable(sentAt, err)
 	}
--- a/leader/launch.go
+++ b/leader/launch.go
@@ -88,7 +88,7 @@
 		"worker":          r.agent.worker.ID,
 		"domain":          r.agent.worker.Zone,
 		"queue":           j.Queue,
-		"settings_age_ms": o.age(r.startedAt).Milliseconds(),
+		"settings_age_ms": t.leader.settingsAge(o).Milliseconds(),
 		"waited_ms":       time.Since(j.arrivedAt).Milliseconds(),
 		"from_checkpoint": m.Checkpoint != "",
 		"weight":          coreEquivalents(r.size),
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -25,6 +25,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/graph"
 	"hemlockhinge/meter"
 	"hemlockhinge/pause"
@@ -42,6 +43,8 @@
 	Log       *logrus.Entry
 	Meter     *meter.Meter
 	WallClock func() time.Time
+	// Clock dates what was confirmed.
+	Clock clock.Clock
 	// Candidates returns how many other candidates for the role there are, and how many
 	// of them have more processor capacity; nil if there are none.
 	Candidates func() (others, larger int)
@@ -75,13 +78,7 @@
 type OperatorSettings struct {
 	Config       *policy.Config
 	OutOfService map[string]bool
-	ConfirmedAt  time.Time
-}
-
-// age returns how long ago the settings were confirmed. The monotonic clock stops while the
-// machine is suspended and the wall clock may be set back, so the longer time counts.
-func (o *OperatorSettings) age(now time.Time) time.Duration {
-	return max(now.Sub(o.ConfirmedAt), now.Round(0).Sub(o.ConfirmedAt.Round(0)))
+	ConfirmedAt  clock.Time
 }
 
 // NotLeaderError reports that this process does not hold the scheduler's role. It
@@ -149,6 +146,11 @@
 	}
 }
 
+// settingsAge returns how long ago settings were confirmed.
+func (l *Leader) settingsAge(o OperatorSettings) time.Duration {
+	return l.ports.Clock.Since(o.ConfirmedAt)
+}
+
 func (l *Leader) currentOperatorSettings() OperatorSettings {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/leader/pace.go
+++ b/leader/pace.go
@@ -84,7 +84,7 @@
 	d := time.Since(begun)
 	t.leader.ports.Meter.Pass(d, t.lag())
 	o := t.leader.currentOperatorSettings()
-	t.leader.ports.Meter.SettingsAge(o.age(time.Now()))
+	t.leader.ports.Meter.SettingsAge(t.leader.settingsAge(o))
 	return d
 }
 
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -52,7 +52,7 @@
 	t.markGuaranteedJobs()
 	w, agents := t.allocWorkers(now)
 	g, runs := t.runningGroups(w, agents, now)
-	if t.settingsCurrent(now) {
+	if t.settingsCurrent() {
 		d := alloc.Decide(w, g, t.startableUnits(now, agents, totalCapacity(w)))
 		for _, e := range d.Stop {
 			for _, r := range runs[e.Group] {
@@ -72,9 +72,9 @@
 
 // settingsCurrent reports whether the operators' settings were confirmed recently enough to
 // start tasks by them: a failure domain may have been taken out of service since.
-func (t *term) settingsCurrent(now time.Time) bool {
+func (t *term) settingsCurrent() bool {
 	o := t.leader.currentOperatorSettings()
-	age := o.age(now)
+	age := t.leader.settingsAge(o)
 	limit := t.leader.settings.MaxSettingsAge
 	current := limit == 0 || age <= limit
 	if current == t.settingsOutdated {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -24,6 +24,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/pause"
 	"hemlockhinge/store"
 )
@@ -50,8 +51,10 @@
 	OnListingApplied func()
 	// OnConfirmed, if set, is called after each answer of the store was applied: the mirror
 	// has all changes that were made before the given time.
-	OnConfirmed func(at time.Time)
-	Log         *logrus.Entry
+	OnConfirmed func(at clock.Time)
+	// Clock dates the confirmations.
+	Clock clock.Clock
+	Log   *logrus.Entry
 
 	// applying is held while changes are applied or confirmed.
 	applying sync.Mutex
@@ -136,7 +139,7 @@
 	if after == 0 {
 		return &store.CompactedError{}
 	}
-	begun := time.Now()
+	begun := m.Clock.Now()
 	p, err := m.Store.Poll(c, m.Prefix, after)
 	var compacted *store.CompactedError
 	if errors.As(err, &compacted) {
@@ -171,7 +174,7 @@
 func (m *Mirror) watchOnce(c context.Context) error {
 	w, cancel, after := m.beginWatch(c)
 	defer cancel()
-	begun := time.Now()
+	begun := m.Clock.Now()
 	p, err := m.Store.Watch(w, m.Prefix, after)
 	var compacted *store.CompactedError
 	switch {
@@ -191,7 +194,7 @@
 
 // Relist reads all keys and applies the differences from the known state.
 func (m *Mirror) Relist(c context.Context) error {
-	begun := time.Now()
+	begun := m.Clock.Now()
 	items, revision, err := ListAll(c, m.Store, m.Prefix)
 	if err != nil {
 		return err
@@ -239,7 +242,7 @@
 }
 
 // confirmed reports that all changes made before a call to the store began are applied.
-func (m *Mirror) confirmed(begun time.Time) {
+func (m *Mirror) confirmed(begun clock.Time) {
 	m.applying.Lock()
 	defer m.applying.Unlock()
 	if m.OnConfirmed != nil {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/mirror"
 	"hemlockhinge/store"
 )
@@ -220,7 +221,7 @@
 func assertCaughtUp(t *testing.T, poll func() (store.Page, error), watch store.Page, want string, confirmed bool) {
 	t.Helper()
 	var got []string
-	var confirmedMS atomic.Int64
+	var dated atomic.Pointer[clock.Time]
 	s := &scriptedStore{
 		lists: []store.Page{page(1, put("a", 1))},
 		polls: []func() (store.Page, error){poll},
@@ -244,17 +245,18 @@
 			got = append(got, fmt.Sprintf("%s%d", i.Key, i.Revision))
 		},
 		OnListingApplied: func() { got = append(got, "listed") },
-		OnConfirmed:      func(at time.Time) { confirmedMS.Store(at.UnixMilli()) },
+		OnConfirmed:      func(at clock.Time) { dated.Store(&at) },
 		Log:              discardingLog(),
 	}
 	c, cancel := context.WithCancel(context.Background())
 	go m.Run(c)
 	time.Sleep(time.Second)
-	asked := time.Now()
+	asked := m.Clock.Now()
 	err := m.CatchUp(c)
 	synctest.Wait()
-	if ok := err == nil && confirmedMS.Load() == asked.UnixMilli(); ok != confirmed {
-		t.Errorf("error %v, confirmed as of %d; a confirmation as of %d: %t", err, confirmedMS.Load(), asked.UnixMilli(), confirmed)
+	at := dated.Load()
+	if ok := err == nil && at != nil && asked.Sub(*at) == 0; ok != confirmed {
+		t.Errorf("error %v, confirmed as of %v; a confirmation as of %v: %t", err, at, asked, confirmed)
 	}
 	time.Sleep(5 * time.Second)
 	synctest.Wait()
