Count the time for which an agent's machine was suspended in its clock

What callers would see: a task that runs twice. An agent's machine is suspended for longer than leases last, with a start in its socket; the scheduler gives the agent up and starts the task elsewhere; the agent wakes and carries the start out, and renews leases as if the scheduler had been there just before.

Evidence: TestSuspendedAgentCountsSuspension fails with the monotonic clock alone (the start is carried out, the lease is renewed until 6,001 ms).

The agent's clock, by which schedulers and agents date orders, now goes on meanwhile. The clock of the worker is still extrapolated by the monotonic one: a reading that is too early only shortens leases.

--- a/runner/poll.go
+++ b/runner/poll.go
@@ -203,11 +203,8 @@
 		return 0
 	}
 	r.leasesExpireAt = now.Add(r.maxLeaseDuration())
-	end := now.Add(r.settings.Lease)
-	if last := r.schedulerContact.Add(r.settings.SilenceTolerance); last.Before(end) {
-		end = last
-	}
-	return r.clock.readingAt(end)
+	left := r.settings.SilenceTolerance - r.ports.Clock.Since(r.schedulerContact)
+	return r.clock.readingAt(now.Add(min(r.settings.Lease, left)))
 }
 
 // maxLeaseDuration returns how long a lease may last by the agent's clock if the
--- a/runner/report.go
+++ b/runner/report.go
@@ -91,5 +91,5 @@
 		Epoch     uint64            `json:"epoch"`
 		ContactMS int64             `json:"contact_ms_ago"`
 		Token     fence.Token       `json:"token"`
-	}{r.status(), r.session.Leader, r.session.Epoch, time.Since(r.schedulerContact).Milliseconds(), r.ledger.Token()}
+	}{r.status(), r.session.Leader, r.session.Epoch, r.ports.Clock.Since(r.schedulerContact).Milliseconds(), r.ledger.Token()}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -24,6 +24,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/fence"
 	"hemlockhinge/meter"
 	"hemlockhinge/pause"
@@ -66,6 +67,8 @@
 	Log              *logrus.Entry
 	Meter            *meter.Meter
 	WallClock        func() time.Time
+	// Clock dates the contacts with the scheduler.
+	Clock clock.Clock
 }
 
 // workerClock is a reading of the worker's monotonic clock and the agent's time when it
@@ -97,9 +100,9 @@
 	// fenced is false while an earlier order may still take effect.
 	fenced bool
 	// schedulerContact is the time of the scheduler's last contact.
-	schedulerContact time.Time
-	// clockStart is the zero point of the agent's monotonic clock.
-	clockStart time.Time
+	schedulerContact clock.Time
+	// clockStart is the zero point of the agent's clock.
+	clockStart clock.Time
 	// unansweredSince is the time since which the worker has not answered, zero while
 	// it answers.
 	unansweredSince time.Time
@@ -129,7 +132,7 @@
 		wakeReport: make(chan struct{}, 1),
 	}
 	// A previous agent process may have renewed leases until just before this one started.
-	r.clockStart = time.Now()
+	r.clockStart = p.Clock.Now()
 	r.leasesExpireAt = time.Now().Add(r.maxLeaseDuration())
 	return r
 }
@@ -227,8 +230,9 @@
 	pause.Wake(r.wakeReport)
 }
 
-// clockMS returns the agent's monotonic clock in milliseconds.
-func (r *Runner) clockMS() int64 { return time.Since(r.clockStart).Milliseconds() }
+// clockMS returns the agent's clock in milliseconds. It goes on while the machine is
+// suspended, so that what a scheduler has sent before counts as old.
+func (r *Runner) clockMS() int64 { return r.ports.Clock.Since(r.clockStart).Milliseconds() }
 
 // recordContact records a contact with the scheduler. It dates the contact by the agent's
 // clock reading that the scheduler returned, so that a message delayed on the network does
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/fence"
 	"hemlockhinge/graph"
 	"hemlockhinge/meter"
@@ -23,6 +24,8 @@
 const (
 	workerStart = 1000
 	lease       = 6 * time.Second
+	// workerClockMS is the worker's clock in all its answers.
+	workerClockMS = 1
 )
 
 var workerCapacity = graph.Size{
@@ -38,8 +41,10 @@
 	unresponsive bool
 	// incarnation is that of its listings, workerStart if 0.
 	incarnation int64
-	// lastLeaseEnd is the end of the lease of the last start.
+	// lastLeaseEnd is the end of the lease of the last order.
 	lastLeaseEnd int64
+	// suspended is for how long the agent's machine has been suspended.
+	suspended time.Duration
 }
 
 // answer returns nil, or, while the worker is unresponsive, a *NoAnswerError when c ends.
@@ -65,13 +70,13 @@
 		Attempt: o.Attempt,
 	})
 	return runner.Answer{
-		ClockMS: 1,
+		ClockMS: workerClockMS,
 	}, nil
 }
 
 func (w *fakeWorker) Stop(context.Context, runner.StopOrder) (runner.Answer, error) {
 	return runner.Answer{
-		ClockMS: 1,
+		ClockMS: workerClockMS,
 	}, nil
 }
 
@@ -79,12 +84,13 @@
 	if err := w.answer(c, "hold"); err != nil {
 		return runner.Answer{}, err
 	}
+	w.lastLeaseEnd = o.LeaseEndMS
 	select {
 	case <-c.Done():
 	case <-time.After(o.Wait):
 	}
 	return runner.Answer{
-		ClockMS: 1,
+		ClockMS: workerClockMS,
 		Listing: fence.Listing{
 			Incarnation: max(w.incarnation, workerStart),
 			Running:     w.running,
@@ -94,7 +100,7 @@
 
 // withRunner runs f in virtual time on a runner that has accepted a scheduler's session
 // and is pinged by it.
-func withRunner(t *testing.T, w runner.Worker, f func(c context.Context, r *runner.Runner, p *wire.Peer)) {
+func withRunner(t *testing.T, w *fakeWorker, f func(c context.Context, r *runner.Runner, p *wire.Peer)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := logrus.New()
@@ -104,6 +110,7 @@
 			Worker: w,
 			Log:    logrus.NewEntry(g),
 			Meter:  meter.New(prometheus.NewRegistry()),
+			Clock:  clock.New(func() time.Duration { return w.suspended }),
 		}, runner.Settings{
 			Lease:            lease,
 			SilenceTolerance: lease,
@@ -209,6 +216,37 @@
 	})
 }
 
+// TestSuspendedAgentCountsSuspension guards against a task that runs twice: its start waits at an
+// agent whose machine is suspended, until the scheduler has given the agent up and started the
+// task elsewhere. The agent must refuse the start when it wakes, and renew no lease.
+func TestSuspendedAgentCountsSuspension(t *testing.T) {
+	w := &fakeWorker{}
+	withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
+		if k := launch(c, r, p, "0123456789abcdef.0.0.0", 1); k != 0 {
+			t.Fatalf("first start: code %s", k)
+		}
+		m, err := r.Handle(c, p, &wire.Ping{})
+		v, ok := m.(*wire.Pong)
+		if !ok {
+			t.Fatalf("ping: %v", err)
+		}
+		w.suspended = 2 * lease
+		r.ExtendLease(c)
+		if w.lastLeaseEnd > workerClockMS {
+			t.Errorf("lease renewed until %d after the suspension", w.lastLeaseEnd)
+		}
+		_, err = r.Handle(c, p, &wire.Launch{
+			Task:        "0123456789abcdef.0.0.1",
+			Attempt:     1,
+			LastAgentMS: v.AgentMS,
+		})
+		var f *wire.RefusedError
+		if !errors.As(err, &f) || f.Code != wire.CodeExpired || w.starts != 1 {
+			t.Errorf("start from before the suspension: %v, %d starts", err, w.starts)
+		}
+	})
+}
+
 // TestHeartbeatAfterRestartWithSameID guards against a worker whose reports are taken for
 // those of its previous incarnation: it restarts under its ID, the runner learns of that from
 // a listing first, and the numbers of its heartbeats begin anew. No task may start before
