Pass the operators' settings on to the scheduler in order

What callers would see: for up to the next confirmation, 1.2 s, jobs of a queue that was just added wait, or tasks start in a failure domain that was just taken out of service.

The class: a value that is read under one lock and written under another.

Looked for elsewhere: the mirrors apply and confirm under one lock; the relay and the role keep what they know where they learn it.

The scheduler's part of the dump now has its version of the configuration and the age of its settings, beside the entry's.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -144,6 +144,10 @@
 	// objects follows the operators' objects.
 	objects mirror.Mirror
 
+	// publishing is held while what is known is passed on to the scheduler, so that the
+	// newest is passed on last. It is locked before mu.
+	publishing sync.Mutex
+
 	mu           sync.Mutex
 	config       *policy.Config
 	outOfService map[string]bool
@@ -250,6 +254,8 @@
 // publish passes the configuration and the failure domains that are out of
 // service to the scheduler in this process.
 func (d *Intake) publish() {
+	d.publishing.Lock()
+	defer d.publishing.Unlock()
 	d.mu.Lock()
 	o := leader.OperatorSettings{
 		Config:       d.config,
--- a/leader/dump.go
+++ b/leader/dump.go
@@ -12,6 +12,9 @@
 type Dump struct {
 	Holder      string         `json:"holder"`
 	Address     string         `json:"address"`
+	Version     int64          `json:"configuration_version"`
+	Revision    uint64         `json:"configuration_revision"`
+	SettingsMS  int64          `json:"settings_confirmed_ms_ago"`
 	Leading     bool           `json:"leads"`
 	Epoch       uint64         `json:"epoch,omitempty"`
 	TermStart   string         `json:"since,omitempty"`
@@ -51,9 +54,15 @@
 // Dump returns the scheduler's state in this process.
 func (l *Leader) Dump() Dump {
 	h, a := l.role.Holder()
+	o := l.currentOperatorSettings()
 	d := Dump{
-		Holder:  h,
-		Address: a,
+		Holder:     h,
+		Address:    a,
+		SettingsMS: l.settingsAge(o).Milliseconds(),
+	}
+	if o.Config != nil {
+		d.Version = o.Config.Version
+		d.Revision = o.Config.Revision
 	}
 	l.mu.Lock()
 	t := l.term
