Refuse records and messages that are nested too deeply

Cause: the msgpack library skips unknown fields recursively, and only lengths were checked. A record of 1 MiB, the most that the store keeps, whose unknown field is a million arrays in each other takes the decoder's stack to 256 MB. The class: work that grows with what another writer chose.

Before, TestCheckDepth's deep cases were decoded without an error. JSON has such a limit in its library, 10,000.

codec.Check counts the depth, 32 at most, without recursion; all records and messages pass it. A registration whose capacity is too large a number no longer counts as the largest machine.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -2,12 +2,14 @@
 //
 // The msgpack library allocates room for as many elements as a collection claims to have,
 // so that a few malformed bytes can exhaust the memory of a process. This package checks
-// first that every claimed length fits into the data.
+// first that every claimed length fits into the data, and that collections are not nested
+// deeper than any message or record needs: the library decodes them recursively.
 //
 // # Usage
 //
 //	var v T
-//	err := codec.Unmarshal(b, &v) // *codec.LengthError if a length is impossible
+//	err := codec.Unmarshal(b, &v) // *codec.LengthError if a length is impossible,
+//	                              // *codec.DepthError if the data is nested too deeply
 package codec
 
 import (
@@ -22,6 +24,10 @@
 // or record has, and few enough to allocate.
 const maxElements = 1 << 17
 
+// maxDepth is how deeply collections may be nested: several times as deep as in any message or
+// record.
+const maxDepth = 32
+
 // LengthError reports a length at an offset, in bytes, that the data cannot hold.
 type LengthError struct {
 	Offset int
@@ -32,6 +38,15 @@
 	return fmt.Sprintf("msgpack: length %d at offset %d exceeds the data or the limit", e.Length, e.Offset)
 }
 
+// DepthError reports a collection at an offset, in bytes, that is nested too deeply.
+type DepthError struct {
+	Offset int
+}
+
+func (e *DepthError) Error() string {
+	return fmt.Sprintf("msgpack: collection at offset %d is nested more than %d deep", e.Offset, maxDepth)
+}
+
 // Unmarshal is msgpack.Unmarshal after Check.
 func Unmarshal(b []byte, v any) error {
 	if err := Check(b); err != nil {
@@ -41,8 +56,10 @@
 }
 
 // Check returns *LengthError if a value in b claims to be longer than the data that follows
-// it. It does not check whether the data is complete.
+// it, and *DepthError if collections are nested too deeply. It does not check whether the data
+// is complete.
 func Check(b []byte) error {
+	var n nesting
 	for i := 0; i < len(b); {
 		h := headerOf(b[i:])
 		if h.length < 0 || h.length > len(b)-i || h.elements > len(b)-i || h.elements > maxElements {
@@ -51,11 +68,42 @@
 				Length: max(h.length, h.elements),
 			}
 		}
+		if !n.add(h.elements) {
+			return &DepthError{
+				Offset: i,
+			}
+		}
 		i += h.length
 	}
 	return nil
 }
 
+// nesting holds how many elements of each collection around a value are still to come. The
+// zero value is outside of all collections.
+type nesting struct {
+	left  [maxDepth]int
+	depth int
+}
+
+// add adds a value that has elements itself if it is a collection, and reports whether that
+// is not nested too deeply.
+func (n *nesting) add(elements int) bool {
+	if n.depth > 0 {
+		n.left[n.depth-1]--
+	}
+	if elements > 0 {
+		if n.depth == maxDepth {
+			return false
+		}
+		n.left[n.depth] = elements
+		n.depth++
+	}
+	for n.depth > 0 && n.left[n.depth-1] == 0 {
+		n.depth--
+	}
+	return true
+}
+
 // header describes a value: the bytes that it takes, without the elements that follow
 // it, and the number of those.
 type header struct {
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -1,6 +1,7 @@
 package codec_test
 
 import (
+	"bytes"
 	"errors"
 	"testing"
 
@@ -47,6 +48,38 @@
 	}
 }
 
+// TestCheckDepth guards against a record that takes a process down: it is nested a million
+// deep, so that decoding it takes more memory than the process has.
+func TestCheckDepth(t *testing.T) {
+	const much = 1 << 20
+	cases := []struct {
+		name string
+		b    []byte
+		ok   bool
+	}{
+		{"arrays in arrays", append(bytes.Repeat([]byte{0x91}, much), 1), false},
+		{"maps in maps", append(bytes.Repeat([]byte{0x81, 0xa1, 'x'}, much), 1), false},
+		{"deep in the second element", append(append([]byte{0x92, 1}, bytes.Repeat([]byte{0x91}, much)...), 1), false},
+		{"unknown field of a record", append(append([]byte{0x81, 0xa1, 'z'}, bytes.Repeat([]byte{0x91}, much)...), 1), false},
+		{"a few levels", append(bytes.Repeat([]byte{0x91}, 20), 1), true},
+		{"many arrays side by side", append([]byte{0xdc, 0xff, 0xff}, bytes.Repeat([]byte{0x91, 1}, 0xffff)...), true},
+		{"many empty arrays", append([]byte{0xdc, 0xff, 0xff}, bytes.Repeat([]byte{0x90}, 0xffff)...), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var v record
+			err := codec.Check(c.b)
+			var e *codec.DepthError
+			if (err == nil) != c.ok || err != nil && !errors.As(err, &e) {
+				t.Errorf("check: %v", err)
+			}
+			if err := codec.Unmarshal(c.b, &v); !c.ok && !errors.As(err, &e) {
+				t.Errorf("unmarshal: %v", err)
+			}
+		})
+	}
+}
+
 // FuzzUnmarshal checks that whatever the library writes passes the check, and that no
 // input makes decoding fail other than with an error.
 func FuzzUnmarshal(f *testing.F) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -139,6 +139,7 @@
 	s.peerAddrs = append(s.peerAddrs, a)
 	n, err := strconv.Atoi(string(i.Value))
 	if err != nil {
+		n = 0
 		s.log.WithError(err).WithField("entry", a).Debug("entry_capacity_unknown")
 	}
 	if s.peerMilliCPU == nil {
