Bound by time how long a scheduler acts without the store

Cause: the role counted as held until the store said otherwise, so a scheduler without a way to the store pinged its agents for ever, which renewed their leases; its successor assumed that agents which it does not reach are in contact with nobody. The class: two processes whose assumptions about each other hold only while they can talk.

Now a scheduler starts tasks and pings agents until 2.5 s after it sent the last renewal that was answered. The price: starts stop 2.5 s into an outage of the store (they stopped then before, for the age of the operators' settings), tasks end 10.5 s into one, and tasks of a zone that is lost with its scheduler start elsewhere 1 s later.

--- a/leader/election.go
+++ b/leader/election.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/codec"
 	"hemlockhinge/pause"
 	"hemlockhinge/store"
@@ -18,8 +19,12 @@
 
 // Timing of the election.
 const (
-	roleTTL            = 1500 * time.Millisecond
-	roleRenewInterval  = 400 * time.Millisecond
+	roleTTL           = 1500 * time.Millisecond
+	roleRenewInterval = 400 * time.Millisecond
+	// maxUnrenewedTime is how long after the last renewal of the role a scheduler starts
+	// tasks and keeps its agents renewing leases. It is longer than the role lasts, so that
+	// short outages of the store do no harm; a successor waits for the difference.
+	maxUnrenewedTime   = 2500 * time.Millisecond
 	campaignRetryDelay = 100 * time.Millisecond
 	// precedenceDelay is how long a candidate leaves a free role to those with more
 	// processor capacity, and precedenceJitter spreads candidates with equal capacity.
@@ -36,9 +41,13 @@
 	// candidates is as in Ports.
 	candidates func() (others, larger int)
 
+	clock clock.Clock
+
 	mu       sync.Mutex
 	holder   holder
 	revision uint64
+	// renewedAt is when the last renewal was sent that the store has answered.
+	renewedAt clock.Time
 }
 
 // Holder returns the ID and the address of the last known holder of the role.
@@ -126,10 +135,12 @@
 // acquire writes the role key under a new lease, on condition that the key does not
 // exist.
 func (r *Role) acquire(c context.Context) (leadership, bool, error) {
+	sentAt := r.clock.Now()
 	l, err := r.store.Grant(c, roleTTL)
 	if err != nil {
 		return leadership{}, false, err
 	}
+	r.recordRenewal(sentAt)
 	h := r.self
 	h.Nonce = rand.Text()
 	b, err := msgpack.Marshal(h)
@@ -168,12 +179,30 @@
 	return r.holder.Nonce == nonce
 }
 
+// recordRenewal records that the store has answered a renewal that was sent at a time.
+func (r *Role) recordRenewal(sentAt clock.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.renewedAt = sentAt
+}
+
+// unrenewedFor returns how long ago the last renewal was sent that the store has answered.
+func (r *Role) unrenewedFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock.Since(r.renewedAt)
+}
+
 // renewLoop renews the lease until the store reports that it has expired, or c ends.
-// An unreachable store does not end the term: the role counts as held until it is
-// known to be lost.
+// An unreachable store does not end the term, since it may be out of reach for all
+// processes and pause its leases.
 func (r *Role) renewLoop(c context.Context, g leadership) {
 	for pause.For(c, roleRenewInterval) {
+		sentAt := r.clock.Now()
 		err := r.store.Keep(c, g.lease)
+		if err == nil {
+			r.recordRenewal(sentAt)
+		}
 		var expired *store.NotFoundError
 		if errors.As(err, &expired) {
 			r.log.WithField("epoch", g.epoch).Warn("role_lease_expired")
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -123,6 +123,7 @@
 			store:      p.Store,
 			log:        p.Log,
 			candidates: p.Candidates,
+			clock:      p.Clock,
 			self: holder{
 				ID:   s.ID,
 				Addr: s.Addr,
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -52,7 +52,7 @@
 	t.markGuaranteedJobs()
 	w, agents := t.allocWorkers(now)
 	g, runs := t.runningGroups(w, agents, now)
-	if t.settingsCurrent() {
+	if t.roleCertain() && t.settingsCurrent() {
 		d := alloc.Decide(w, g, t.startableUnits(now, agents, totalCapacity(w)))
 		for _, e := range d.Stop {
 			for _, r := range runs[e.Group] {
@@ -70,6 +70,18 @@
 	}
 }
 
+// roleCertain reports whether the role was renewed recently enough to act by it: the tasks
+// that a scheduler starts or keeps alive after that may run a second time under a successor.
+func (t *term) roleCertain() bool {
+	d := t.leader.role.unrenewedFor()
+	certain := d <= maxUnrenewedTime
+	if certain == t.roleUncertain {
+		t.roleUncertain = !certain
+		t.log.WithFields(logrus.Fields{"certain": certain, "unrenewed_ms": d.Milliseconds()}).Warn("role_certainty_changed")
+	}
+	return certain
+}
+
 // settingsCurrent reports whether the operators' settings were confirmed recently enough to
 // start tasks by them: a failure domain may have been taken out of service since.
 func (t *term) settingsCurrent() bool {
--- a/leader/session.go
+++ b/leader/session.go
@@ -137,6 +137,9 @@
 // pingLoop pings an agent until a ping fails or c ends.
 func (t *term) pingLoop(c context.Context, m *agentState, p *wire.Peer) error {
 	for wait := time.Duration(0); pause.For(c, wait); wait = pingInterval {
+		if t.leader.role.unrenewedFor() > maxUnrenewedTime {
+			continue
+		}
 		sentAt := time.Now()
 		t.mu.Lock()
 		v := &wire.Ping{
@@ -175,8 +178,13 @@
 
 // workerLeasesExpired reports whether the tasks of an agent that is out of contact
 // have certainly ended: an agent renews its worker's leases only while it is in
-// contact with a scheduler.
+// contact with a scheduler, this one or its predecessor.
 func (t *term) workerLeasesExpired(m *agentState, now time.Time) bool {
+	if m.peer != nil {
+		return false
+	}
 	limit := time.Duration(float64(t.leader.settings.SilenceTolerance)*(1+fence.MaxClockDrift)) + silenceMargin
-	return m.peer == nil && now.Sub(m.lastContact) > limit
+	// The predecessor may act for that long after its role has expired.
+	predecessor := maxUnrenewedTime - roleTTL
+	return now.Sub(m.lastContact) > limit && now.Sub(t.startedAt) > limit+predecessor
 }
--- a/leader/term.go
+++ b/leader/term.go
@@ -40,6 +40,9 @@
 	storeLossLogged bool
 
 	mu sync.Mutex
+	// roleUncertain is set while the role has not been renewed for so long that another
+	// process may hold it.
+	roleUncertain bool
 	// settingsOutdated is set while the operators' settings are too old to start tasks.
 	settingsOutdated bool
 	// roleLost means that the role is known to be lost: no job is accepted and
