Judge no run by a page of ends that is not the last

While the store is down, more than 500 ends of a worker wait to be acknowledged; it lists 500 at a time, and the runs beyond them count as vanished and start again.

Cause: the ledger of an agent drops runs that are in neither list, although a full page says that there may be more. The class: a conclusion from what a listing lacks before its last page was read.

A truncated listing removes no run, the agent's report counts as incomplete until the last page was read, and an agent goes on reading pages though it knows of nothing that runs. Looked for elsewhere: listings of the store are applied after their last page (mirror.ListAll); reports of agents have no pages; machines are not listed.

--- a/fence/fence.go
+++ b/fence/fence.go
@@ -82,6 +82,9 @@
 	Confirmations uint64
 	Running       []Run
 	Ended         []End
+	// Truncated means that the worker keeps further ends, which it lists once these are
+	// acknowledged.
+	Truncated bool
 }
 
 // Ledger holds the runs that may exist on one worker. The zero value is empty.
@@ -99,6 +102,8 @@
 	ends []End
 	// lastEnd is the highest number of an end that was applied.
 	lastEnd int64
+	// truncated means that the worker keeps ends that are not in the ledger yet.
+	truncated bool
 	// ackedThrough is the highest number of an end that was acknowledged.
 	ackedThrough int64
 }
@@ -116,6 +121,10 @@
 // shows all runs confirmed up to this number, unless they have ended.
 func (l *Ledger) Confirmations() uint64 { return l.confirmations }
 
+// Truncated reports whether the worker keeps ends that are not in the ledger yet. A run that
+// the ledger lacks may be one of them.
+func (l *Ledger) Truncated() bool { return l.truncated }
+
 // RaiseToken raises the token to t, or by one if t is not higher, and returns it.
 func (l *Ledger) RaiseToken(t Token) Token {
 	l.token = max(t, l.token+1)
@@ -134,6 +143,7 @@
 	l.runs = nil
 	l.ends = nil
 	l.lastEnd = 0
+	l.truncated = false
 	l.ackedThrough = 0
 	return true
 }
@@ -182,7 +192,8 @@
 		return false
 	}
 	l.cleared = nil
-	changed := l.applyRuns(s)
+	changed := l.applyRuns(s) || l.truncated != s.Truncated
+	l.truncated = s.Truncated
 	for _, e := range s.Ended {
 		if e.Number <= l.lastEnd {
 			continue
@@ -238,8 +249,12 @@
 // dropMissing removes runs that the listing lacks, provided that it would show
 // them: confirmed runs if it was requested after the confirmation, others if it
 // was requested under a higher token than that of their start, which can no longer
-// take effect.
+// take effect. A truncated listing shows nothing of the kind: the missing run may be among
+// the ends that it leaves out.
 func (l *Ledger) dropMissing(s Listing) bool {
+	if s.Truncated {
+		return false
+	}
 	changed := false
 	for t, r := range l.runs {
 		if slices.ContainsFunc(s.Running, func(v Run) bool { return v.Task == t && v.Attempt == r.Attempt }) {
@@ -311,4 +326,4 @@
 }
 
 // Idle reports whether no run may exist and all ends are acknowledged.
-func (l *Ledger) Idle() bool { return len(l.runs) == 0 && len(l.ends) == 0 }
+func (l *Ledger) Idle() bool { return len(l.runs) == 0 && len(l.ends) == 0 && !l.truncated }
--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -122,6 +122,32 @@
 	}
 }
 
+// TestTruncatedListing guards against runs that count as vanished although they have ended: the
+// worker keeps more ends than it lists at a time.
+func TestTruncatedListing(t *testing.T) {
+	l := ledger()
+	l.Begin(first, 1, size, time.Time{})
+	l.Confirm(first, 1)
+	l.Begin(second, 1, size, time.Time{})
+	l.RaiseToken(0)
+	s := listing(l)
+	s.Truncated = true
+	l.Apply(s)
+	assertRuns(t, l, 2)
+	l.Reject(first, 1)
+	l.Reject(second, 1)
+	if !l.Truncated() || l.Idle() {
+		t.Error("the ledger counts as complete")
+	}
+	l.Begin(first, 1, size, time.Time{})
+	l.RaiseToken(0)
+	l.Apply(listing(l))
+	assertRuns(t, l, 0)
+	if l.Truncated() {
+		t.Error("the ledger does not count as complete after a complete listing")
+	}
+}
+
 func TestUsedCountsUncertainRuns(t *testing.T) {
 	l := ledger()
 	l.Begin(first, 1, size, time.Time{})
--- a/runner/report.go
+++ b/runner/report.go
@@ -45,7 +45,7 @@
 	s := &wire.AgentStatus{
 		Seq:     r.statusSeq,
 		Node:    r.settings.Node,
-		Settled: r.fenced,
+		Settled: r.fenced && !r.ledger.Truncated(),
 		Worker:  r.workerNow(),
 		WallMS:  r.ports.WallClock().UnixMilli(),
 		Vacant:  r.leasesExpired,
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -64,7 +64,7 @@
 
 // AgentStatus is an agent's full status report about its worker and runs. A report with a
 // higher Seq is newer. Settled is false while earlier orders of the agent may still take
-// effect. Vacant means that the worker does not answer and nothing can be running there,
+// effect, or its worker keeps ends that are not in the report. Vacant means that the worker does not answer and nothing can be running there,
 // since all leases have expired. WallMS is the agent's wall clock and AgentMS its monotonic
 // clock.
 type AgentStatus struct {
