Rig: replaced machines, zones without power, routes that change their service

Jobs must run on workers of a service to which a version sends their route that their entry may still have used.

--- a/review/rig/changes.go
+++ b/review/rig/changes.go
@@ -82,10 +82,13 @@
 	return s.judgeChanges(j, jobs)
 }
 
+// spareMachines is how many machines are there for entries that are replaced.
+const spareMachines = 2
+
 // bootLinked starts a deployment whose traffic goes through links.
 func (s *system) bootLinked(entries, agents int, o *operator) (*troubles, error) {
 	var hosts []int
-	for i := range entries {
+	for i := range entries + spareMachines {
 		hosts = append(hosts, firstEntry+i)
 	}
 	for i := range agents {
@@ -105,26 +108,38 @@
 		links:  l,
 		active: map[int]int{},
 		endAt:  map[int]time.Time{},
-		lives:  map[int]int{},
+		lives:  make([]int, entries),
 		gone:   map[int]bool{},
 	}
+	for i := range spareMachines {
+		t.spare = append(t.spare, firstEntry+entries+i)
+	}
 	for i := range entries {
 		t.process = append(t.process, len(s.processes))
+		t.host = append(t.host, firstEntry+i)
 		if err := s.startEntry(i); err != nil {
 			return nil, err
 		}
 	}
 	for i := range agents {
-		if err := s.startAgent(i, nil); err != nil {
+		t.agents = append(t.agents, len(s.processes))
+		if err := s.startAgent(i, alternateService); err != nil {
 			return nil, err
 		}
 	}
-	return t, s.warmUp(agents)
+	return t, s.warmUp((agents + 1) / 2)
+}
+
+// alternateService lets every other worker serve the other service.
+func alternateService(i int, w *worker) {
+	if i%2 == 1 {
+		w.service = otherService
+	}
 }
 
 // judgeChanges notes what callers saw and returns the first answer that broke the rule.
 func (s *system) judgeChanges(j *judge, jobs *jobList) error {
-	errs := j.verdict()
+	errs := append(j.verdict(), s.oldServices(j.operator.history(), jobs)...)
 	for _, err := range errs {
 		s.record.note("%v", err)
 	}
--- a/review/rig/judge.go
+++ b/review/rig/judge.go
@@ -73,6 +73,29 @@
 	return n
 }
 
+// oldServices returns an error for each run of a job at a worker of a service to which no
+// version sends its route that the entry may still have used, as *brokenError.
+func (s *system) oldServices(l []configVersion, jobs *jobList) []error {
+	serviceOf := map[string]string{}
+	for _, w := range s.workers {
+		serviceOf[w.id] = w.service
+	}
+	var out []error
+	for _, j := range jobs.all() {
+		oldest := max(inForce(l, j.sentAt, configApplyTime), 0)
+		for _, r := range s.ran.of(j.id) {
+			allowed := !j.calm
+			for _, v := range l[oldest:] {
+				allowed = allowed || v.writtenAt.Before(r.begun) && v.routes[j.prefix] == serviceOf[r.worker]
+			}
+			if !allowed {
+				out = append(out, broken("CONFIG", "job %s%s, sent at %s, ran at %s of the old service %s", j.prefix, j.id, j.sentAt.Format("15:04:05.000"), r.worker, serviceOf[r.worker]))
+			}
+		}
+	}
+	return out
+}
+
 // incarnation names a process of an entry.
 type incarnation struct {
 	entry  int
--- a/review/rig/probes.go
+++ b/review/rig/probes.go
@@ -37,6 +37,7 @@
 	id     string
 	prefix string
 	sentAt time.Time
+	calm   bool
 }
 
 func (l *jobList) add(j acceptedJob) {
@@ -110,6 +111,7 @@
 			id:     id,
 			prefix: p.prefix,
 			sentAt: p.sentAt,
+			calm:   p.calm,
 		})
 	}
 	q.judge.add(p)
@@ -117,7 +119,7 @@
 
 // call sends a request and returns the status, 0 if there was no answer.
 func (q *prober) call(c context.Context, p *probe, body []byte) int {
-	r, err := http.NewRequestWithContext(c, p.method, "http://"+q.sys.entries[q.entry]+p.path, bytes.NewReader(body)) //nolint:gosec // an address of the rig
+	r, err := http.NewRequestWithContext(c, p.method, "http://"+q.sys.entryAddr(q.entry)+p.path, bytes.NewReader(body)) //nolint:gosec // an address of the rig
 	if err != nil {
 		return 0
 	}
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -278,8 +278,12 @@
 }
 
 func (s *system) startEntry(i int) error {
-	h := firstEntry + i
-	s.entries = append(s.entries, s.addr(h, frontPort))
+	s.entries = append(s.entries, s.addr(firstEntry+i, frontPort))
+	return s.startEntryAt(i, firstEntry+i)
+}
+
+// startEntryAt starts an entry on the machine with a number.
+func (s *system) startEntryAt(i, h int) error {
 	extra := fmt.Sprintf("Role=entry\nServes=edge\nListenAddrs.Frontend=%s\nListenAddrs.Ready=%s\n", s.addr(h, frontPort), s.addr(h, readyPort))
 	return s.startDaemon("entry", fmt.Sprintf("edge-%d", i+1), "edge", h, zones[i%len(zones)], extra)
 }
@@ -293,6 +297,7 @@
 		addr:    s.addr(h, workerPort),
 		control: s.addr(h, controlPort),
 		zone:    z,
+		service: serviceName,
 		labels:  []string{"a", rackOf(i)},
 		size: capacity{
 			CPU:   128000,
@@ -304,7 +309,7 @@
 		change(i, w)
 	}
 	s.workers = append(s.workers, w)
-	extra := fmt.Sprintf("Role=agent\nServes=side\nListenAddrs.ControlPlane=%s\napp=%s\nService=%s\n", w.control, w.addr, serviceName)
+	extra := fmt.Sprintf("Role=agent\nServes=side\nListenAddrs.ControlPlane=%s\napp=%s\nService=%s\n", w.control, w.addr, w.service)
 	if err := s.startDaemon("agent", fmt.Sprintf("side-%d", i+1), "side", h, z, extra); err != nil {
 		return err
 	}
@@ -361,6 +366,13 @@
 	return s.startAgain(i)
 }
 
+// processCount returns how many processes have been started under an index of their own.
+func (s *system) processCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.processes)
+}
+
 // processOf returns the process with an index.
 func (s *system) processOf(i int) *os.Process {
 	s.mu.Lock()
@@ -456,7 +468,7 @@
 		}
 		r = bytes.NewReader(b)
 	}
-	q, err := http.NewRequestWithContext(context.Background(), method, "http://"+s.entries[entry%len(s.entries)]+path, r) //nolint:gosec // an address of the rig
+	q, err := http.NewRequestWithContext(context.Background(), method, "http://"+s.entryAddr(entry)+path, r) //nolint:gosec // an address of the rig
 	if err != nil {
 		return 0, nil, err
 	}
@@ -473,6 +485,20 @@
 	return p.StatusCode, b, err
 }
 
+// entryAddr returns the address at which callers reach an entry.
+func (s *system) entryAddr(i int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[i%len(s.entries)]
+}
+
+// moveEntry sets the address at which callers reach an entry.
+func (s *system) moveEntry(i int, addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries[i] = addr
+}
+
 // submitOnce hands a new job in and returns its id.
 func (s *system) submitOnce(prefix string, j job) (string, error) {
 	id := fmt.Sprintf("%016x", rand.Uint64()) //nolint:gosec // no secret
--- a/review/rig/troubles.go
+++ b/review/rig/troubles.go
@@ -17,15 +17,22 @@
 	sys   *system
 	links *machineLinks
 	rng   *rand.Rand
-	// process holds the index of each entry's process.
-	process []int
+	// agents holds the index of each agent's process.
+	agents []int
+	// replacing is held while a process gets an index.
+	replacing sync.Mutex
 
 	mu sync.Mutex
+	// process and host hold the index of each entry's process and the number of its machine.
+	process []int
+	host    []int
+	// spare are the numbers of machines that no entry has used yet.
+	spare []int
 	// active counts the disruptions of an entry; everybody stands for the store and for
 	// connections of all machines.
 	active map[int]int
 	endAt  map[int]time.Time
-	lives  map[int]int
+	lives  []int
 	gone   map[int]bool
 }
 
@@ -111,6 +118,8 @@
 	{"stopped", false, func(t *troubles, c context.Context, e int, d time.Duration) {
 		t.kill(c, e, d, syscall.SIGTERM, false)
 	}},
+	{"replaced", false, (*troubles).replace},
+	{"zone without power", true, (*troubles).zoneLoss},
 	{"settings changed", false, (*troubles).changeSettings},
 	{"connections dead", true, (*troubles).killConns},
 	{"store down, 503", true, func(t *troubles, c context.Context, _ int, d time.Duration) {
@@ -160,7 +169,7 @@
 			return
 		}
 		k := l[t.draw(len(l))]
-		e := t.draw(len(t.process))
+		e := t.draw(len(t.lives))
 		d := time.Duration(minTime+t.draw(maxTime-minTime)) * time.Millisecond
 		mark := e
 		if k.all {
@@ -177,13 +186,14 @@
 }
 
 func (t *troubles) cut(c context.Context, entry int, d time.Duration, store, peers linkState) {
-	t.links.set(firstEntry+entry, store, peers)
+	h := t.hostOf(entry)
+	t.links.set(h, store, peers)
 	sleep(c, d)
-	t.links.set(firstEntry+entry, linkUp, linkUp)
+	t.links.set(h, linkUp, linkUp)
 }
 
 func (t *troubles) pause(c context.Context, entry int, d time.Duration) {
-	p := t.sys.processOf(t.process[entry])
+	p := t.sys.processOf(t.processOf(entry))
 	_ = p.Signal(syscall.SIGSTOP)
 	sleep(c, d)
 	_ = p.Signal(syscall.SIGCONT)
@@ -199,16 +209,17 @@
 	}
 	t.gone[entry] = true
 	t.mu.Unlock()
+	h := t.hostOf(entry)
 	if dark {
-		t.links.set(firstEntry+entry, linkSilent, linkSilent)
+		t.links.set(h, linkSilent, linkSilent)
 	}
-	t.sys.stopProcess(t.process[entry], n)
+	t.sys.stopProcess(t.processOf(entry), n)
 	t.newLife(entry)
 	sleep(c, d)
 	if dark {
-		t.links.set(firstEntry+entry, linkUp, linkUp)
+		t.links.set(h, linkUp, linkUp)
 	}
-	if err := t.sys.startAgain(t.process[entry]); err != nil {
+	if err := t.sys.startAgain(t.processOf(entry)); err != nil {
 		t.sys.record.note("entry %d does not start: %v", entry+1, err)
 	}
 	t.mu.Lock()
@@ -216,10 +227,86 @@
 	t.mu.Unlock()
 }
 
+// hostOf returns the number of an entry's machine.
+func (t *troubles) hostOf(entry int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.host[entry]
+}
+
+// processOf returns the index of an entry's process.
+func (t *troubles) processOf(entry int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.process[entry]
+}
+
+// replace kills an entry for good, and starts another one on a spare machine.
+func (t *troubles) replace(c context.Context, entry int, d time.Duration) {
+	t.mu.Lock()
+	if t.gone[entry] || len(t.spare) == 0 {
+		t.mu.Unlock()
+		return
+	}
+	t.gone[entry] = true
+	old := t.process[entry]
+	h := t.spare[0]
+	t.spare = t.spare[1:]
+	t.mu.Unlock()
+	t.links.set(t.hostOf(entry), linkSilent, linkSilent)
+	t.sys.stopProcess(old, syscall.SIGKILL)
+	t.newLife(entry)
+	sleep(c, d)
+	t.replacing.Lock()
+	defer t.replacing.Unlock()
+	n := t.sys.processCount()
+	if err := t.sys.startEntryAt(entry, h); err != nil {
+		t.sys.record.note("entry %d is not replaced: %v", entry+1, err)
+		return
+	}
+	t.sys.moveEntry(entry, t.sys.addr(h, frontPort))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.process[entry] = n
+	t.host[entry] = h
+	t.gone[entry] = false
+}
+
+// zoneLoss takes the power from all entries, agents and workers of a zone for a time.
+func (t *troubles) zoneLoss(c context.Context, entry int, d time.Duration) {
+	var w sync.WaitGroup
+	defer w.Wait()
+	zone := entry % len(zones)
+	for e := range t.lives {
+		if e%len(zones) == zone {
+			w.Go(func() { t.kill(c, e, d, syscall.SIGKILL, true) })
+		}
+	}
+	for a, p := range t.agents {
+		if a%len(zones) != zone {
+			continue
+		}
+		w.Go(func() {
+			t.links.set(firstAgent+a, linkSilent, linkSilent)
+			t.sys.stopProcess(p, syscall.SIGKILL)
+			t.sys.workers[a].crash()
+			sleep(c, d)
+			t.links.set(firstAgent+a, linkUp, linkUp)
+			if err := t.sys.startAgain(p); err != nil {
+				t.sys.record.note("agent %d does not start: %v", a+1, err)
+			}
+			if err := t.sys.workers[a].start(); err != nil {
+				t.sys.record.note("worker %d does not start: %v", a+1, err)
+			}
+		})
+	}
+}
+
 // changeSettings adds an unknown field to an entry's settings file and sends SIGHUP.
 func (t *troubles) changeSettings(_ context.Context, entry int, d time.Duration) {
+	i := t.processOf(entry)
 	t.sys.mu.Lock()
-	path := t.sys.commands[t.process[entry]][1]
+	path := t.sys.commands[i][1]
 	t.sys.mu.Unlock()
 	b, err := os.ReadFile(path) //nolint:gosec // in the rig's own folder
 	if err != nil {
@@ -229,7 +316,7 @@
 	const ownerOnly = 0o600
 	_ = os.WriteFile(path, b, ownerOnly) //nolint:gosec // in the rig's own folder
 	if d > time.Second {
-		_ = t.sys.processOf(t.process[entry]).Signal(syscall.SIGHUP)
+		_ = t.sys.processOf(i).Signal(syscall.SIGHUP)
 	}
 }
 
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -95,6 +95,7 @@
 	addr    string
 	control string
 	zone    string
+	service string
 	labels  []string
 	size    capacity
 	mu      sync.Mutex
@@ -210,7 +211,7 @@
 	f.mu.Lock()
 	f.seq++
 	v := map[string]any{
-		"Service":    serviceName,
+		"Service":    f.w.service,
 		"Address":    f.w.addr,
 		"Zone":       f.w.zone,
 		"Version":    "v1",
