Let a start that fails or gets no answer change where the next one goes

An idle worker is gone; each start goes to it, is refused because its port is closed, and goes to it again 150 ms later. If the worker is silent instead, the start stays on its way for ever.

Cause: nobody looks at an idle worker, and a start that could not be sent changed nothing in what the agent reported; after one without an answer the agent asked the worker again without end, without a report, and held up all orders meanwhile. The class: a failure without consequences for the next decision.

After a start that could not be sent, or that met another incarnation, the agent reports that it knows nothing of its worker until that has answered. An agent that waits for an answer stops once all leases have expired, 13 s after the start at most: the order would be rejected by then. Launches wait for an earlier order for 2 s, as long as they are valid. A refusal because the worker did not answer, or came too late, lets tasks go to other workers first for 2 s.

--- a/leader/agent.go
+++ b/leader/agent.go
@@ -57,6 +57,9 @@
 	clockOffset    time.Duration
 	hasClockOffset bool
 	failures       failureTracker
+	// lostStartAt is when a start was last refused because the worker did not answer the
+	// agent, or the order came too late.
+	lostStartAt time.Time
 	// earlyLosses are runs that were lost soon after their start at the worker, which has not
 	// answered since.
 	earlyLosses []earlyLoss
@@ -66,6 +69,18 @@
 	leavesAt time.Time
 }
 
+// lostStartMemory is how long such a refusal lets tasks go to other workers first.
+const lostStartMemory = 2 * time.Second
+
+// failureScore rises with what has failed at the worker recently.
+func (m *agentState) failureScore(now time.Time) int {
+	n := m.failures.score(now)
+	if now.Sub(m.lostStartAt) < lostStartMemory {
+		n++
+	}
+	return n
+}
+
 // unexpectedRun is a run that should not exist; the scheduler stops it.
 type unexpectedRun struct {
 	attempt    int
--- a/leader/dump.go
+++ b/leader/dump.go
@@ -145,7 +145,7 @@
 		LastContactMS:    now.Sub(m.lastContact).Milliseconds(),
 		Runs:             len(m.runs),
 		UnexpectedRuns:   len(m.unexpected),
-		FailureScore:     m.failures.score(now),
+		FailureScore:     m.failureScore(now),
 		FreeAccelerators: f.Capacity.Sub(m.usedCapacity()).Accelerators,
 		Accelerators:     f.Capacity.Accelerators,
 	}
--- a/leader/launch.go
+++ b/leader/launch.go
@@ -129,6 +129,9 @@
 		delete(r.agent.runs, r.task)
 		r.agent.failures.recordRefusal(r.task, f.Code, time.Now())
 		j.retryAfter[r.task] = time.Now().Add(refusedRetryDelay)
+		if f.Code == wire.CodeLost || f.Code == wire.CodeExpired {
+			r.agent.lostStartAt = time.Now()
+		}
 		if f.Code == wire.CodeNoTicket {
 			t.approvals.DropTicket(r.task.StepName(), incarnationOf(r.agent))
 		}
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -108,7 +108,7 @@
 	w := make([]alloc.Worker, 0, len(agents))
 	for _, m := range agents {
 		f := m.worker
-		d := m.failures.score(now)
+		d := m.failureScore(now)
 		if t.isSlow(m) {
 			d = blockedScore
 		}
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -95,7 +95,9 @@
 	if err != nil {
 		return nil, wire.Refuse(wire.CodeUnknown, "%v", err)
 	}
-	r.orderSlot <- struct{}{}
+	if !r.takeOrderSlot(c, wire.MaxLaunchAge) {
+		return nil, wire.Refuse(wire.CodeExpired, "launch request expired: an earlier order has no answer yet")
+	}
 	defer func() { <-r.orderSlot }()
 	o, err := r.admitStart(p, t, m)
 	if err != nil {
@@ -118,6 +120,19 @@
 	return r.finishStart(t, m, err)
 }
 
+// takeOrderSlot waits for the order slot, and reports whether it was free within d.
+func (r *Runner) takeOrderSlot(c context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case r.orderSlot <- struct{}{}:
+		return true
+	case <-t.C:
+	case <-c.Done():
+	}
+	return false
+}
+
 // admitStart checks whether a start is allowed and, if so, records it in the ledger
 // and returns the order for the worker.
 func (r *Runner) admitStart(p *wire.Peer, t graph.Task, m *wire.Launch) (StartOrder, error) {
@@ -170,10 +185,14 @@
 	}
 	r.ledger.Reject(t, m.Attempt)
 	r.ports.Log.WithError(err).WithFields(logrus.Fields{"task": m.Task, "attempt": m.Attempt}).Warn("start_rejected")
-	if rejectionReason(err) == ReasonStaleToken {
+	switch rejectionReason(err) {
+	case ReasonStaleToken:
 		r.ledger.RaiseToken(r.ledger.Token() + tokenJump)
-		r.fenced = false
-		pause.Wake(r.wakePoll)
+		r.unfence()
+	case ReasonNotSent, ReasonOtherIncarnation:
+		// The worker may be gone. No task is to be started here before it answers.
+		r.unfence()
+	default:
 	}
 	return nil, wire.Refuse(refusalCode(rejectionReason(err)), "%v", err)
 }
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -49,12 +49,24 @@
 	r.fenceOrdersLocked(c)
 }
 
+// unfence makes the runner ask the worker what it runs before any other order, and tells the
+// scheduler that no task may be started here until then. The caller holds r.mu.
+func (r *Runner) unfence() {
+	if !r.fenced {
+		return
+	}
+	r.fenced = false
+	r.markChanged()
+	pause.Wake(r.wakePoll)
+}
+
 // fenceOrdersLocked ensures that no earlier order can still take effect: it retries
 // until the worker has answered a call whose token is higher than that of every earlier
-// order. The caller holds the order slot.
+// order, or until all leases have expired, with which such an order would be rejected. The
+// caller holds the order slot.
 func (r *Runner) fenceOrdersLocked(c context.Context) {
 	r.mu.Lock()
-	r.fenced = false
+	r.unfence()
 	r.mu.Unlock()
 	for c.Err() == nil {
 		if r.raiseToken(c) && r.renewAndList(c, 0) == nil {
@@ -65,6 +77,12 @@
 			return
 		}
 		pause.For(c, r.backoff())
+		r.mu.Lock()
+		expired := r.leasesExpired
+		r.mu.Unlock()
+		if expired {
+			return
+		}
 	}
 }
 
