Take no speed and no end from tasks that last

Cause: the progress of such a task stays at 100 percent. Its rate of progress, 0, became a run time of an hour, far above the mean of its queue. The same figure made it look like a task that is about to end, for which others may wait. The class: a measure taken of what has none.

Evidence: TestLastingTasksTellNoSpeed failed before (slow, expected to end in 0 s) and passes now; its other case, a task with an end that stands still, is slow before and after.

The progress of tasks that last is kept as it is reported, without a rate.

--- a/leader/report.go
+++ b/leader/report.go
@@ -159,7 +159,12 @@
 		r.survived = true
 		j.recordSurvival(k, v.Attempt)
 	}
-	r.progress.observe(v.Percent, time.Now())
+	if j.Steps[k.Step].LongRunning {
+		// Its progress says whether it is at work, not when it ends.
+		r.progress.percent = v.Percent
+	} else {
+		r.progress.observe(v.Percent, time.Now())
+	}
 	if r.startUnconfirmed && !v.Uncertain {
 		r.startUnconfirmed = false
 		r.phase = running
