List the keys again when an answer with changes cannot be read

What callers saw, on real processes: a route that was added is not served. An entry is paused for 2.5 s, or just asks late, while 25 versions of the configuration of 560 KB are written; from then on it answers 503 for as long as it runs.

Cause: an answer of the store above 16 MiB was cut short without a word, read as broken JSON, and asked for again and again from the same revision. Listings have pages, changes have none. The class: a retry that cannot succeed because it repeats what failed.

An answer over the limit is an error of its own (unreadable answer), as is one that is no JSON; for changes it becomes store.UnreadableError, upon which the keys are listed again as after a compaction. All users of watches and polls take both errors by store.MustRelist: mirrors, the confirmation of the configuration, the election, the relay.

--- a/intake/confirm.go
+++ b/intake/confirm.go
@@ -205,8 +205,7 @@
 func (d *Intake) confirmNow(c context.Context) error {
 	sentAt := d.ports.Clock.Now()
 	err := d.objects.CatchUp(c)
-	var compacted *store.CompactedError
-	if errors.As(err, &compacted) {
+	if store.MustRelist(err) {
 		var i store.Item
 		i, err = d.ports.Store.Get(c, d.ports.Objects.ConfigKey())
 		if err == nil {
--- a/leader/election.go
+++ b/leader/election.go
@@ -97,8 +97,7 @@
 	}
 	r.observe(i)
 	_, err = r.store.Watch(c, roleKey, i.Revision)
-	var compacted *store.CompactedError
-	if errors.As(err, &compacted) {
+	if store.MustRelist(err) {
 		err = nil
 		pause.For(c, campaignRetryDelay)
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,8 +1,8 @@
 // Package mirror follows the keys of the store below a prefix, by a listing and a
 // watch.
 //
-// If the store has compacted the history that the watch needs, the keys are listed
-// again, and those that have disappeared meanwhile are reported as deleted.
+// If the store has compacted the history that the watch needs, or its answer cannot be read,
+// the keys are listed again, and those that have disappeared meanwhile are reported as deleted.
 //
 // A watch may deliver nothing for seconds although there are changes, for example because
 // its connection has gone silent. Whoever depends on a copy that is not older than a bound
@@ -131,8 +131,8 @@
 	}
 }
 
-// CatchUp asks the store for changes and applies those that the watch has not delivered. It
-// returns *store.CompactedError if there was no listing yet, or if the keys must be listed
+// CatchUp asks the store for changes and applies those that the watch has not delivered. Its
+// error satisfies store.MustRelist if there was no listing yet, or if the keys must be listed
 // again, which Run then does.
 func (m *Mirror) CatchUp(c context.Context) error {
 	after := m.Revision()
@@ -141,8 +141,7 @@
 	}
 	begun := m.Clock.Now()
 	p, err := m.Store.Poll(c, m.Prefix, after)
-	var compacted *store.CompactedError
-	if errors.As(err, &compacted) {
+	if store.MustRelist(err) {
 		m.repeatPendingWatch()
 	}
 	if err != nil {
@@ -176,10 +175,9 @@
 	defer cancel()
 	begun := m.Clock.Now()
 	p, err := m.Store.Watch(w, m.Prefix, after)
-	var compacted *store.CompactedError
 	switch {
-	case errors.As(err, &compacted):
-		m.Log.WithField("prefix", m.Prefix).WithField("revision", after).Info("watch_compacted")
+	case store.MustRelist(err):
+		m.Log.WithError(err).WithField("prefix", m.Prefix).WithField("revision", after).Info("watch_compacted")
 		return m.Relist(c)
 	case err != nil && w.Err() != nil && c.Err() == nil:
 		m.Log.WithField("prefix", m.Prefix).WithField("revision", after).Info("watch_repeated")
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -122,11 +122,9 @@
 	}
 	var n *store.NotFoundError
 	var t *store.TxnConflictError
-	var g *store.CompactedError
 	switch {
-	case errors.As(a.err, &g):
+	case store.MustRelist(a.err):
 		r.Outcome = wire.StoreCompacted
-		r.Revision = g.Revision
 	case a.err == nil:
 		r.Outcome = wire.StoreDone
 	case errors.As(a.err, &n):
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -46,8 +46,8 @@
 }
 
 // cases are the scripts by name. Those in the first group belong to the review's cases, those
-// in the second are further findings, and trials that found nothing. The last are seeded runs
-// of random disruptions.
+// in the second are further findings, and trials that found nothing. The last are on
+// changes of the configuration; "changes" is a seeded run of random disruptions.
 var cases = map[string]func(s *system, trouble bool) error{
 	"zone-apart":        zoneApart,
 	"many-ends":         manyEnds,
@@ -63,7 +63,8 @@
 	"timed-jobs":                timedJobs,
 	"huge-job":                  hugeJob,
 
-	"changes": changes,
+	"changes":              changes,
+	"changes-while-paused": changesWhilePaused,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -126,6 +126,8 @@
 	links *machineLinks
 	// askAt is the entry that is asked for states.
 	askAt int
+	// padding is added to the configuration.
+	padding string
 	// renamed is added to the names of the routes in the configuration.
 	renamed string
 
@@ -260,6 +262,7 @@
 			"AdmissionCheck": false,
 			"Standby":        false,
 		}},
+		"Padding": s.padding,
 		"Limits": map[string]any{
 			"MaxHeaderBytes":  16384,
 			"MaxBodyBytes":    262144,
--- a/store/store.go
+++ b/store/store.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -122,6 +123,29 @@
 	return fmt.Sprintf("store history before revision %d has been compacted", e.Revision)
 }
 
+// UnreadableError says that the changes below a prefix cannot be read, for example because
+// there are too many of them for one answer. The keys must be listed again.
+type UnreadableError struct {
+	Op     string
+	Prefix string
+	Err    error
+}
+
+func (e *UnreadableError) Error() string {
+	return fmt.Sprintf("store %s of prefix %q: %v", e.Op, e.Prefix, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Err }
+
+// MustRelist reports whether an error of Watch or Poll means that the keys must be listed
+// again.
+func MustRelist(err error) bool {
+	var c *CompactedError
+	var u *UnreadableError
+	return errors.As(err, &c) || errors.As(err, &u)
+}
+
 // UncertainError says that it could not be determined in time whether a write took effect.
 // Nonce is the id of the write.
 type UncertainError struct {
