Believe a heartbeat of another incarnation only if the worker answers as it

Cause: an agent took the later of two start times for the living worker. The class: a claim of identity that nobody checks. Now a heartbeat that names another incarnation than the known one is checked with the worker itself, on the same machine: it has to answer under that id, with that start time. If it does not answer at all, the later start time decides as before.

Evidence: TestForeignHeartbeatIsRefused.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -36,6 +36,7 @@
 	orderAgeSeconds   prometheus.Histogram
 	configAgeSeconds  prometheus.Histogram
 	workerCrashes     prometheus.Counter
+	heartbeatsRefused prometheus.Counter
 }
 
 // New registers a daemon's metrics.
@@ -70,13 +71,18 @@
 			Name:      "worker_crashes_total",
 			Help:      "Unplanned restarts of the worker.",
 		}),
+		heartbeatsRefused: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "heartbeats_refused_total",
+			Help:      "Heartbeats of other writers.",
+		}),
 		linesDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "log_lines_dropped_total",
 			Help:      "Log lines beyond the budget.",
 		}),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused)
 	return m
 }
 
@@ -177,6 +183,13 @@
 	}
 }
 
+// HeartbeatRefused counts a heartbeat that is not from the worker.
+func (m *Meter) HeartbeatRefused() {
+	if m != nil {
+		m.heartbeatsRefused.Inc()
+	}
+}
+
 // LinesDropped counts dropped log lines.
 func (m *Meter) LinesDropped(n int) {
 	if m != nil {
--- /dev/null
+++ b/runner/identity.go
@@ -0,0 +1,67 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"hemlockhinge/wire"
+)
+
+// ForeignHeartbeatError says that a heartbeat is not from the worker: the worker has another
+// identity than the one in the heartbeat. Born is the start time in the worker's answer, 0 if
+// it has another id.
+type ForeignHeartbeatError struct {
+	ID   string
+	Born int64
+}
+
+func (e *ForeignHeartbeatError) Error() string {
+	return fmt.Sprintf("the worker at this address is not incarnation %q; its start time is %d", e.ID, e.Born)
+}
+
+// identity says what is known of the sender of a heartbeat.
+type identity int
+
+const (
+	// unknown means that the worker did not answer.
+	unknown identity = iota
+	// same means that the heartbeat is of the incarnation that is known already.
+	same
+	// confirmed means that the worker has answered as the incarnation in the heartbeat.
+	confirmed
+)
+
+// identify finds out whether a heartbeat is from the worker. One that names another
+// incarnation than the known one, later or earlier, is believed if the worker itself answers as
+// that incarnation.
+func (r *Runner) identify(f wire.WorkerInfo) (identity, error) {
+	r.mu.Lock()
+	old := r.worker
+	token := r.ledger.Token()
+	r.mu.Unlock()
+	if f.ID == old.ID && f.Born == old.Born {
+		return same, nil
+	}
+	c, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	begun := time.Now()
+	a, err := r.ports.Worker.RenewAndList(c, RenewOrder{
+		Worker: f.ID,
+		Token:  token,
+	})
+	r.ports.Meter.WorkerCall("identify", err, time.Since(begun))
+	var j *RejectedError
+	switch {
+	case err == nil && a.Listing.Incarnation == f.Born:
+		return confirmed, nil
+	case err == nil || errors.As(err, &j) && j.Reason == ReasonOtherIncarnation:
+		r.ports.Meter.HeartbeatRefused()
+		return unknown, &ForeignHeartbeatError{
+			ID:   f.ID,
+			Born: a.Listing.Incarnation,
+		}
+	}
+	return unknown, nil
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -157,13 +157,19 @@
 }
 
 // HandleHeartbeat handles a heartbeat from the worker. seq is the heartbeat's sequence
-// number; a heartbeat that was overtaken by a newer one is ignored.
-func (r *Runner) HandleHeartbeat(f wire.WorkerInfo, seq, clockMS int64) {
+// number; a heartbeat that was overtaken by a newer one is ignored. It returns
+// *ForeignHeartbeatError if the worker does not answer to the identity in the heartbeat.
+func (r *Runner) HandleHeartbeat(f wire.WorkerInfo, seq, clockMS int64) error {
+	id, err := r.identify(f)
+	if err != nil {
+		return err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if f.Born < r.worker.Born || (f.Born == r.worker.Born && f.ID == r.worker.ID && seq < r.heartbeatSeq) {
+	stale := f.Born < r.worker.Born && id != confirmed
+	if stale || (f.Born == r.worker.Born && f.ID == r.worker.ID && seq < r.heartbeatSeq) {
 		r.ports.Log.WithFields(logrus.Fields{"worker": f.ID, "born": f.Born, "seq": seq}).Info("stale_heartbeat_ignored")
-		return
+		return nil
 	}
 	old := r.worker
 	isNew := !old.Known || f.Born != old.Born || f.ID != old.ID
@@ -188,6 +194,7 @@
 		}
 	}
 	r.markChanged()
+	return nil
 }
 
 // HandleDeregister handles a worker's deregistration.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -92,7 +93,7 @@
 	return runner.Answer{
 		ClockMS: workerClockMS,
 		Listing: fence.Listing{
-			Incarnation: max(w.incarnation, workerStart),
+			Incarnation: cmp.Or(w.incarnation, workerStart),
 			Running:     w.running,
 		},
 	}, nil
@@ -116,12 +117,14 @@
 			SilenceTolerance: lease,
 		})
 		go r.Run(c)
-		r.HandleHeartbeat(wire.WorkerInfo{
+		if err := r.HandleHeartbeat(wire.WorkerInfo{
 			Known:    true,
 			ID:       "w1",
 			Born:     workerStart,
 			Capacity: workerCapacity,
-		}, 1, 1)
+		}, 1, 1); err != nil {
+			t.Fatal(err)
+		}
 		time.Sleep(time.Second)
 		a, b := net.Pipe()
 		p := wire.NewPeer(a, r)
@@ -255,7 +258,7 @@
 	w := &fakeWorker{}
 	withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
 		beat := func(born, seq int64, z graph.Size) {
-			r.HandleHeartbeat(wire.WorkerInfo{
+			_ = r.HandleHeartbeat(wire.WorkerInfo{
 				Known:    true,
 				ID:       "w1",
 				Born:     born,
@@ -283,3 +286,44 @@
 		}
 	})
 }
+
+// TestForeignHeartbeatIsRefused guards against a heartbeat of another writer that displaces a
+// sound worker: its task is started elsewhere while it runs, or the worker gets none any more.
+// A worker that has really restarted must be believed, also if its clock was set back.
+func TestForeignHeartbeatIsRefused(t *testing.T) {
+	w := &fakeWorker{}
+	withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
+		if k := launch(c, r, p, "0123456789abcdef.0.0.0", 1); k != 0 {
+			t.Fatalf("first start: code %s", k)
+		}
+		beat := func(id string, born int64) error {
+			return r.HandleHeartbeat(wire.WorkerInfo{
+				Known:    true,
+				ID:       id,
+				Born:     born,
+				Capacity: workerCapacity,
+			}, 1, 1)
+		}
+		var f *runner.ForeignHeartbeatError
+		for _, id := range []string{"w1", "w9"} {
+			if err := beat(id, workerStart+5000); !errors.As(err, &f) {
+				t.Errorf("heartbeat of another writer as %s: %v", id, err)
+			}
+		}
+		if k := launch(c, r, p, "0123456789abcdef.0.0.0", 2); k != wire.CodeBusy {
+			t.Errorf("second attempt beside the first: code %s", k)
+		}
+		if k := launch(c, r, p, "0123456789abcdef.0.0.1", 1); k != 0 {
+			t.Errorf("start after the foreign heartbeats: code %s", k)
+		}
+		w.incarnation = workerStart - 500
+		w.running = nil
+		if err := beat("w2", workerStart-500); err != nil {
+			t.Errorf("heartbeat of the next incarnation: %v", err)
+		}
+		time.Sleep(2 * time.Second)
+		if k := launch(c, r, p, "0123456789abcdef.0.0.2", 1); k != 0 {
+			t.Errorf("start at the next incarnation: code %s", k)
+		}
+	})
+}
