Start tasks that last again however often they crash a worker or fail

Cause: the limit on crashes knew no exception, and lists that are there to count up to a limit were kept where there is none.

Of a task that lasts, the two newest crashes are kept, so that it is started apart from others, and no failed attempts. It also starts while the fate of a worker is unknown.

--- a/graph/crash_test.go
+++ b/graph/crash_test.go
@@ -52,3 +52,31 @@
 		})
 	}
 }
+
+// TestLastingTaskIsNeverGivenUp guards against a task that lasts and is given up, since its
+// workers crash or it fails again and again, and against a record of it that grows for ever.
+func TestLastingTaskIsNeverGivenUp(t *testing.T) {
+	const attempts = 1000
+	j := twoSteps()
+	j.Steps[0].LongRunning = true
+	p := graph.NewProgress(j)
+	k := task(0, 1)
+	for n := 1; n <= attempts; n++ {
+		p.RecordCrash(j, k, n)
+		p.RecordEnd(j, graph.End{
+			Task:    k,
+			Attempt: n,
+			Outcome: graph.OutcomeFailed,
+		}, 3)
+	}
+	if p.RecordCrash(j, k, 1) {
+		t.Error("an old crash is recorded again")
+	}
+	v := p.Task(j, k)
+	if p.State != graph.Queued || !v.SuspectAfter(0) || v.Attempt != attempts {
+		t.Errorf("state %q, suspect: %t, attempt %d", p.State, v.SuspectAfter(0), v.Attempt)
+	}
+	if n := len(v.CrashedAttempts) + len(v.FailedAttempts); n > 4 {
+		t.Errorf("the record of one task holds %d attempts", n)
+	}
+}
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -138,6 +138,9 @@
 		return false
 	}
 	t.Attempt = max(t.Attempt, attempt)
+	if j.Steps[k.Step].LongRunning {
+		return t.recordLastingCrash(attempt)
+	}
 	t.CrashedAttempts = append(t.CrashedAttempts, attempt)
 	if t.GivenUpAfter(0) {
 		p.State = Failed
@@ -145,6 +148,19 @@
 	return true
 }
 
+// recordLastingCrash records a crash under a task that lasts. Such a task is started again
+// however often it crashes its workers, but apart from others: the newest crashes that make it a
+// suspect are kept. It reports whether there was a change.
+func (t *TaskProgress) recordLastingCrash(attempt int) bool {
+	if len(t.CrashedAttempts) == suspectCrashes && attempt < slices.Min(t.CrashedAttempts) {
+		return false
+	}
+	t.CrashedAttempts = append(t.CrashedAttempts, attempt)
+	slices.Sort(t.CrashedAttempts)
+	t.CrashedAttempts = t.CrashedAttempts[max(len(t.CrashedAttempts)-suspectCrashes, 0):]
+	return true
+}
+
 // RecordSurvival records that an attempt at a task has worked without crashing its worker, so
 // that it is not to blame for earlier crashes, also for those that are told later. It reports
 // whether there were any.
@@ -199,11 +215,15 @@
 }
 
 func (p *Progress) markFailed(j *Job, t Task, attempt, maxAttempts int) {
+	if j.Steps[t.Step].LongRunning {
+		// There is no limit on its attempts, and the record must stay small.
+		return
+	}
 	v := p.Task(j, t)
 	if !slices.Contains(v.FailedAttempts, attempt) {
 		v.FailedAttempts = append(v.FailedAttempts, attempt)
 	}
-	if v.Done || j.Steps[t.Step].LongRunning {
+	if v.Done {
 		return
 	}
 	if maxAttempts > 0 && len(v.FailedAttempts) >= maxAttempts {
--- a/leader/units.go
+++ b/leader/units.go
@@ -169,7 +169,7 @@
 	if v.SuspectAfter(0) && j.crashVersion > j.storedVersion {
 		return false
 	}
-	if earlyLosses > 0 && v.GivenUpAfter(earlyLosses) {
+	if earlyLosses > 0 && v.GivenUpAfter(earlyLosses) && !j.Steps[k.Step].LongRunning {
 		return false
 	}
 	return !v.Done && !now.Before(j.retryAfter[k])
