--- a/review/rig/changes.go
+++ b/soak/changes.go
@@ -21,7 +21,7 @@
 }
 
 // changes: routes and keys come and go, and routes change their service, beside random
-// disruptions. Callers keep their connections open. The environment has SEED, SECONDS,
+// disruptions. Callers keep their connections open. The environment has SEED, LENGTH_S,
 // ENTRIES and AGENTS, and in ONLY a part of the names of the disruptions.
 func changes(s *system, trouble bool) error {
 	const (
@@ -49,7 +49,7 @@
 		operator: o,
 	}
 	jobs := &jobList{}
-	c, cancel := context.WithTimeout(context.Background(), time.Duration(environment("SECONDS", defaultSeconds))*time.Second)
+	c, cancel := context.WithTimeout(context.Background(), time.Duration(environment("LENGTH_S", defaultSeconds))*time.Second)
 	defer cancel()
 	var w sync.WaitGroup
 	for i := range entries * probersAnEntry {
--- a/review/rig/main.go
+++ b/soak/main.go
@@ -1,14 +1,16 @@
-// Rig runs the review's scripts: it starts the project's daemons as separate processes, with
-// stand-ins for the store, the workers and the callers, causes one disruption and checks one
-// rule by what callers, workers and the store have seen.
+// Soak starts the project's daemons as separate processes, with stand-ins for the store, the
+// workers and the callers, causes disruptions and checks rules by what callers, workers and the
+// store have seen.
 //
 // # Usage
 //
-//	target/review-rig CASE RECORD
+//	target/soak CASE RECORD
 //
-// RECORD is the file for what was sent, answered and run. The exit status is 1 if the rule
-// was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 in the
-// environment there is no disruption.
+// RECORD is the file for what was sent, answered and run. The exit status is 1 if a rule was
+// broken, 0 if it held and 2 if the case could not run. The logs of the daemons are kept if a
+// rule was broken or KEEP_LOGS is set. With TROUBLE=0 in the environment there is no
+// disruption. The case "changes" takes SEED, LENGTH_S, ENTRIES, AGENTS and, in ONLY, a part of
+// the names of its disruptions.
 package main
 
 import (
@@ -72,7 +74,7 @@
 func run() int {
 	const args = 3
 	if len(os.Args) != args || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-rig CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: soak CASE RECORD")
 		return exitNotRun
 	}
 	s, err := newSystem(os.Args[2])
@@ -99,7 +101,8 @@
 	var b *brokenError
 	switch {
 	case errors.As(err, &b):
-		s.record.note("BROKEN %v", err)
+		s.keepLogs = true
+		s.record.note("BROKEN %v; logs in %s", err, s.dir)
 		return exitBroken
 	case err != nil:
 		s.record.note("not run: %v", err)
--- a/review/rig/system.go
+++ b/soak/system.go
@@ -120,6 +120,8 @@
 	workers []*worker
 	entries []string
 	http    http.Client
+	// keepLogs leaves the daemons' logs where they are.
+	keepLogs bool
 	// zoned means that the zones reach each other and the store through links.
 	zoned bool
 	// links, if set, carry the traffic of each machine.
@@ -144,7 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d, err := os.MkdirTemp("", "review-")
+	d, err := os.MkdirTemp("", "soak-")
 	if err != nil {
 		return nil, err
 	}
@@ -192,7 +194,7 @@
 	for _, f := range s.logs {
 		_ = f.Close()
 	}
-	if os.Getenv("KEEP_LOGS") == "" {
+	if os.Getenv("KEEP_LOGS") == "" && !s.keepLogs {
 		_ = os.RemoveAll(s.dir) //nolint:gosec // the folder that the rig has made
 	}
 }
