Start a task only at the incarnation of the worker that it was placed on

What callers could see (the review, by reading): a task starts on a worker of another size or kind than the one that it was placed on: the worker has restarted, under its id, while the start was on its way or waited at the agent.

Cause: a start order named no incarnation. Evidence: TestStartIsForOneIncarnation; before, the start for an earlier life was carried out. A start now carries the start time of the worker, and an agent whose worker has another one refuses it.

--- a/leader/launch.go
+++ b/leader/launch.go
@@ -72,6 +72,7 @@
 		Ticket:      t.ticket(r),
 		Size:        r.size,
 		LastAgentMS: r.agent.agentClockMS,
+		Born:        r.incarnation,
 	}
 	p := r.agent.peer
 	o := t.leader.currentOperatorSettings()
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -151,6 +151,8 @@
 	switch {
 	case !r.worker.Known || r.worker.Gone || !r.fenced:
 		return StartOrder{}, wire.Refuse(wire.CodeLost, "the state of the worker is not known yet")
+	case m.Born != 0 && m.Born != r.worker.Born:
+		return StartOrder{}, wire.Refuse(wire.CodeLost, "the worker has restarted since the start was decided on")
 	case r.worker.Leaving:
 		return StartOrder{}, wire.Refuse(wire.CodeLeaving, "the worker is shutting down")
 	case r.ledger.HasOtherAttempt(t, m.Attempt):
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,7 +38,10 @@
 // fakeWorker accepts every order. While unresponsive is set it answers no Start or
 // RenewAndList.
 type fakeWorker struct {
-	running      []fence.Run
+	running []fence.Run
+	ended   []fence.End
+	// acknowledged is the number up to which ends were acknowledged.
+	acknowledged int64
 	starts       int
 	unresponsive bool
 	// incarnation is that of its listings, workerStart if 0.
@@ -86,6 +90,8 @@
 		return runner.Answer{}, err
 	}
 	w.lastLeaseEnd = o.LeaseEndMS
+	w.acknowledged = max(w.acknowledged, o.AckedThrough)
+	w.ended = slices.DeleteFunc(w.ended, func(e fence.End) bool { return e.Number <= o.AckedThrough })
 	select {
 	case <-c.Done():
 	case <-time.After(o.Wait):
@@ -95,6 +101,7 @@
 		Listing: fence.Listing{
 			Incarnation: cmp.Or(w.incarnation, workerStart),
 			Running:     w.running,
+			Ended:       w.ended,
 		},
 	}, nil
 }
@@ -327,3 +334,35 @@
 		}
 	})
 }
+
+// TestStartIsForOneIncarnation guards against a task that starts on a worker of another size or
+// kind than the one that it was placed on: the worker has restarted, under its id, while the start
+// was on its way.
+func TestStartIsForOneIncarnation(t *testing.T) {
+	w := &fakeWorker{}
+	withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
+		for _, v := range []struct {
+			born int64
+			want wire.Code
+		}{
+			{workerStart - 100, wire.CodeLost},
+			{workerStart, 0},
+		} {
+			m, err := r.Handle(c, p, &wire.Ping{})
+			g, ok := m.(*wire.Pong)
+			if !ok {
+				t.Fatalf("ping: %v", err)
+			}
+			_, err = r.Handle(c, p, &wire.Launch{
+				Task:        "0123456789abcdef.0.0.0",
+				Attempt:     1,
+				LastAgentMS: g.AgentMS,
+				Born:        v.born,
+			})
+			var f *wire.RefusedError
+			if errors.As(err, &f); f != nil && f.Code != v.want || f == nil && v.want != 0 {
+				t.Errorf("start for incarnation %d: %v", v.born, err)
+			}
+		}
+	})
+}
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -101,8 +101,9 @@
 // started on another worker after a long loss of contact.
 const MaxLaunchAge = 2 * time.Second
 
-// Launch asks an agent to start a task; LastAgentMS is as in Ping. The reply is Launched, or
-// a refusal, which guarantees that the task does not run.
+// Launch asks an agent to start a task at the incarnation of its worker that was started at
+// Born, in Unix milliseconds; 0 stands for any. LastAgentMS is as in Ping. The reply is
+// Launched, or a refusal, which guarantees that the task does not run.
 type Launch struct {
 	_msgpack    struct{} `msgpack:",as_array"`
 	Task        string
@@ -112,6 +113,7 @@
 	Ticket      string
 	Size        graph.Size
 	LastAgentMS int64
+	Born        int64
 }
 
 // Launched says that a task runs. Status reports with a sequence number of Seq or higher
