Acknowledge the last ends of a worker that falls idle

What was seen in the records of the soak: the end of the last task at a worker is acknowledged only with the next start there, be it a minute later.

Cause: once the scheduler has recorded all ends, the agent's ledger is empty and the agent calls its worker no more, also not to pass the acknowledgement on. Evidence: TestLastEndIsAcknowledged, nothing was acknowledged before. Now an agent goes on until the worker has answered a call that carries the newest acknowledgement: one more call on its machine.

--- a/runner/poll.go
+++ b/runner/poll.go
@@ -15,12 +15,13 @@
 		r.mu.Lock()
 		// A worker that has stopped answering is polled until it answers again.
 		fenced, idle := r.fenced, r.ledger.Idle() && r.unansweredSince.IsZero()
+		unacknowledged := idle && r.deliveredAck < r.ledger.AckedThrough()
 		unrecorded := len(r.ledger.Ends()) > 0
 		r.mu.Unlock()
 		switch {
 		case !fenced:
 			r.fenceOrders(c)
-		case unrecorded:
+		case unrecorded, unacknowledged:
 			// While the worker has unacknowledged ends it answers a long poll at
 			// once, so polling in a loop would spin.
 			_ = r.renewAndList(c, 0)
@@ -163,6 +164,9 @@
 	}
 	lastAnswer := r.lastAnswer()
 	r.unansweredSince = time.Time{}
+	if a.Listing.Incarnation == r.ledger.Incarnation() {
+		r.deliveredAck = max(r.deliveredAck, o.AckedThrough)
+	}
 	if r.leasesExpired {
 		// The listing shows what runs, and an idle worker gets no renewals.
 		r.leasesExpireAt = time.Now().Add(r.maxLeaseDuration())
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -103,6 +103,8 @@
 	schedulerContact clock.Time
 	// clockStart is the zero point of the agent's clock.
 	clockStart clock.Time
+	// deliveredAck is the number up to which ends were acknowledged to the worker.
+	deliveredAck int64
 	// unansweredSince is the time since which the worker has not answered, zero while
 	// it answers.
 	unansweredSince time.Time
@@ -225,6 +227,7 @@
 	if crashed {
 		r.recordCrash(lastAnswer)
 	}
+	r.deliveredAck = 0
 	r.fenced = false
 	pause.Wake(r.wakePoll)
 	return true
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -335,6 +335,31 @@
 	})
 }
 
+// TestLastEndIsAcknowledged guards against ends that the scheduler has recorded and the worker
+// keeps, since its agent calls it no more once nothing runs there.
+func TestLastEndIsAcknowledged(t *testing.T) {
+	w := &fakeWorker{}
+	withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
+		if k := launch(c, r, p, "0123456789abcdef.0.0.0", 1); k != 0 {
+			t.Fatalf("start: code %s", k)
+		}
+		time.Sleep(time.Second)
+		e := fence.End{Number: 1}
+		e.Task = w.running[0].Task
+		e.Attempt = 1
+		e.Outcome = graph.OutcomeDone
+		w.running, w.ended = nil, []fence.End{e}
+		time.Sleep(2 * time.Second)
+		if _, err := r.Handle(c, p, &wire.AckEnds{Born: workerStart, Through: 1}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if w.acknowledged != 1 {
+			t.Errorf("ends up to %d are acknowledged to the worker", w.acknowledged)
+		}
+	})
+}
+
 // TestStartIsForOneIncarnation guards against a task that starts on a worker of another size or
 // kind than the one that it was placed on: the worker has restarted, under its id, while the start
 // was on its way.
