--- a/soak/links.go
+++ b/soak/links.go
@@ -164,7 +164,7 @@
 		Scheme: "http",
 		Host:   l.sys.addr(storeHost, storePort),
 	})
-	p.ModifyResponse = rewriteBody(strings.NewReplacer(pairs...))
+	p.ModifyResponse = bodyRewriter{replacer: strings.NewReplacer(pairs...)}.rewrite
 	p.ErrorHandler = func(http.ResponseWriter, *http.Request, error) {}
 	s := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/soak/zones.go
+++ b/soak/zones.go
@@ -182,7 +182,7 @@
 		Scheme: "http",
 		Host:   z.sys.addr(storeHost, storePort),
 	})
-	p.ModifyResponse = rewriteBody(addresses)
+	p.ModifyResponse = bodyRewriter{replacer: addresses}.rewrite
 	h := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if l.silent() {
@@ -205,19 +205,22 @@
 	return nil
 }
 
-// rewriteBody returns a function that replaces strings in the body of a response.
-func rewriteBody(n *strings.Replacer) func(*http.Response) error {
-	return func(r *http.Response) error {
-		b, err := io.ReadAll(r.Body)
-		if err != nil {
-			return err
-		}
-		b = []byte(n.Replace(string(b)))
-		r.Body = io.NopCloser(bytes.NewReader(b))
-		r.ContentLength = int64(len(b))
-		r.Header.Set("Content-Length", strconv.Itoa(len(b)))
-		return nil
+// bodyRewriter replaces strings in the bodies of responses.
+type bodyRewriter struct {
+	replacer *strings.Replacer
+}
+
+func (w bodyRewriter) rewrite(r *http.Response) error {
+	b, err := io.ReadAll(r.Body)
+	_ = r.Body.Close()
+	if err != nil {
+		return err
 	}
+	b = []byte(w.replacer.Replace(string(b)))
+	r.Body = io.NopCloser(bytes.NewReader(b))
+	r.ContentLength = int64(len(b))
+	r.Header.Set("Content-Length", strconv.Itoa(len(b)))
+	return nil
 }
 
 // heldAnswer holds an answer back until it is known whether the zone is cut off.
