--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # and the callers. The daemons are built by the build command of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/soak ./soak
+go build -o target/soak ./platform/soak
