Keep the jobs of a queue whose name changes

The class: an identity that others do not use.

The state of a job below another prefix is 410 as before.

A job's record and the scheduler's answers carry host and prefix of the queue; a queue is found by its name or, if no queue has it, by these. An idempotency key used for another queue is refused as before. Records without them are read as before.

--- a/graph/graph.go
+++ b/graph/graph.go
@@ -84,8 +84,12 @@
 // Job is what a caller submitted, together with the settings of its queue at that
 // time.
 type Job struct {
-	ID          string        `json:"id" msgpack:"i"`
-	Queue       string        `json:"queue" msgpack:"q"`
+	ID    string `json:"id" msgpack:"i"`
+	Queue string `json:"queue" msgpack:"q"`
+	// Host and Prefix are where the queue took the job, so that the queue is found again
+	// should its name change.
+	Host        string        `json:"host,omitempty" msgpack:"h,omitempty"`
+	Prefix      string        `json:"prefix,omitempty" msgpack:"x,omitempty"`
 	Customer    string        `json:"customer,omitempty" msgpack:"c"`
 	Service     string        `json:"service" msgpack:"w"`
 	Spec        string        `json:"spec,omitempty" msgpack:"s"`
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -341,8 +341,12 @@
 	if err != nil {
 		return nil, "", err
 	}
+	name := q.Name
+	if v := g.Lookup(q); v != nil {
+		name = v.Name
+	}
 	t, err := resolve(g, Request{
-		Queue:  q,
+		Queue:  name,
 		JobID:  id,
 		APIKey: key,
 	})
@@ -370,22 +374,21 @@
 	if err != nil {
 		return "", err
 	}
-	if q != t.Queue.Name {
+	if !t.Queue.Is(q) {
 		return "", noSuchJob(t.JobID)
 	}
 	return s, nil
 }
 
-// jobState returns the state of a job and the name of its queue. Its error is an
-// *Error.
-func (d *Intake) jobState(c context.Context, id string) (graph.State, string, error) {
+// jobState returns the state of a job and its queue. Its error is an *Error.
+func (d *Intake) jobState(c context.Context, id string) (graph.State, policy.QueueRef, error) {
 	s, q, err := d.queryState(c, id)
 	if err != nil {
 		d.ports.Log.WithError(err).WithField("job", id).Info("job_state_unavailable")
-		return "", "", d.unavailable("the scheduler and the store cannot be reached")
+		return "", q, d.unavailable("the scheduler and the store cannot be reached")
 	}
 	if s == "" {
-		return "", "", noSuchJob(id)
+		return "", q, noSuchJob(id)
 	}
 	return s, q, nil
 }
--- a/intake/query.go
+++ b/intake/query.go
@@ -9,6 +9,7 @@
 	"hemlockhinge/graph"
 	"hemlockhinge/leader"
 	"hemlockhinge/pause"
+	"hemlockhinge/policy"
 	"hemlockhinge/store"
 	"hemlockhinge/wire"
 )
@@ -141,7 +142,7 @@
 // queryState returns the state of a job and its queue. It asks the scheduler, and
 // reads the store when the scheduler does not know the job or cannot be reached.
 // The state of a job that does not exist is empty.
-func (d *Intake) queryState(c context.Context, id string) (graph.State, string, error) {
+func (d *Intake) queryState(c context.Context, id string) (graph.State, policy.QueueRef, error) {
 	s, queue, err := d.ports.Leader.State(id)
 	if err != nil {
 		var r *wire.JobState
@@ -149,7 +150,12 @@
 			Job: id,
 		})
 		if err == nil {
-			s, queue = graph.State(r.State), r.Queue
+			s = graph.State(r.State)
+			queue = policy.QueueRef{
+				Name:   r.Queue,
+				Host:   r.Host,
+				Prefix: r.Prefix,
+			}
 		}
 	}
 	if err == nil && s != "" {
@@ -160,31 +166,33 @@
 
 // storedState reads the state of a job and its queue from the store. The state of
 // a job that does not exist is empty.
-func (d *Intake) storedState(c context.Context, id string) (graph.State, string, error) {
+func (d *Intake) storedState(c context.Context, id string) (graph.State, policy.QueueRef, error) {
+	var q policy.QueueRef
 	i, err := d.ports.Store.Get(c, leader.JobKey(id))
 	var none *store.NotFoundError
 	if errors.As(err, &none) {
-		return "", "", nil
+		return "", q, nil
 	}
 	if err != nil {
-		return "", "", err
+		return "", q, err
 	}
 	j, err := leader.DecodeJob(i.Value)
 	if err != nil {
-		return "", "", err
+		return "", q, err
 	}
+	q = leader.QueueRefOf(j)
 	s, err := d.storedProgress(c, id)
 	if err != nil || s.Final() {
-		return s, j.Queue, err
+		return s, q, err
 	}
 	_, err = d.ports.Store.Get(c, leader.CancelKey(id))
 	switch {
 	case err == nil:
-		return graph.Cancelled, j.Queue, nil
+		return graph.Cancelled, q, nil
 	case errors.As(err, &none):
-		return s, j.Queue, nil
+		return s, q, nil
 	}
-	return "", "", err
+	return "", q, err
 }
 
 // storedProgress returns the state in a job's progress record in the store. A job
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -36,7 +36,10 @@
 	if err != nil {
 		return err
 	}
-	// These two come from the configuration, which may have changed since.
+	// These come from the configuration, which may have changed since.
+	if t.Queue.Is(leader.QueueRefOf(o)) {
+		o.Queue, o.Host, o.Prefix = j.Queue, j.Host, j.Prefix
+	}
 	o.Service = j.Service
 	o.MaxAttempts = j.MaxAttempts
 	if !reflect.DeepEqual(o, j) {
@@ -49,6 +52,8 @@
 // none.
 func (d *Intake) submit(c context.Context, t *ResolvedRequest, j *graph.Job) ([]byte, error) {
 	j.Queue = t.Queue.Name
+	j.Host = t.Queue.Host
+	j.Prefix = t.Queue.Prefix
 	j.Service = t.Queue.Service
 	j.Customer = t.Customer
 	j.MaxAttempts = t.Queue.MaxAttempts
--- a/leader/job.go
+++ b/leader/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hemlockhinge/graph"
+	"hemlockhinge/policy"
 )
 
 // job is a job and its scheduling state.
@@ -62,6 +63,15 @@
 	}
 }
 
+// QueueRefOf refers to the queue that took a job.
+func QueueRefOf(j *graph.Job) policy.QueueRef {
+	return policy.QueueRef{
+		Name:   j.Queue,
+		Host:   j.Host,
+		Prefix: j.Prefix,
+	}
+}
+
 // schedulable reports whether tasks of the job may still be started.
 func (j *job) schedulable() bool { return !j.cancelled && !j.progress.State.Final() }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -239,12 +239,12 @@
 	return t, nil
 }
 
-// State returns a job's state and its queue, both empty if the scheduler does not know
+// State returns a job's state and its queue, both zero if the scheduler does not know
 // the job. It returns *NotLeaderError if this process does not hold the role.
-func (l *Leader) State(id string) (graph.State, string, error) {
+func (l *Leader) State(id string) (graph.State, policy.QueueRef, error) {
 	t, err := l.currentTerm()
 	if err != nil {
-		return "", "", err
+		return "", policy.QueueRef{}, err
 	}
 	s, q := t.state(id)
 	return s, q, nil
@@ -280,8 +280,10 @@
 			return nil, wire.Refuse(wire.CodeClaimMoved, "%v", err)
 		}
 		return &wire.JobState{
-			State: string(s),
-			Queue: q,
+			State:  string(s),
+			Queue:  q.Name,
+			Host:   q.Host,
+			Prefix: q.Prefix,
 		}, nil
 	case *wire.GetPendingCount:
 		n, err := l.Pending(v.Queue)
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -33,7 +33,7 @@
 	if o.Config == nil {
 		return nil
 	}
-	return o.Config.Queue(j.Queue)
+	return o.Config.Lookup(QueueRefOf(j.Job))
 }
 
 // schedulingPass removes the runs of agents whose leases have expired, stops unwanted
--- a/leader/term.go
+++ b/leader/term.go
@@ -12,6 +12,7 @@
 	"hemlockhinge/graph"
 	"hemlockhinge/mirror"
 	"hemlockhinge/pause"
+	"hemlockhinge/policy"
 )
 
 // Intervals and time limits of a term.
@@ -122,14 +123,14 @@
 }
 
 // state returns a job's state as callers see it, and its queue.
-func (t *term) state(id string) (graph.State, string) {
+func (t *term) state(id string) (graph.State, policy.QueueRef) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	j := t.jobs[id]
 	if j == nil {
-		return "", ""
+		return "", policy.QueueRef{}
 	}
-	return j.state(), j.Queue
+	return j.state(), QueueRefOf(j.Job)
 }
 
 // pending returns how many jobs of a queue have not started yet.
@@ -138,7 +139,8 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, j := range t.jobs {
-		if j.Queue == queue && j.schedulable() && !j.progress.Started {
+		q := t.queue(j)
+		if q != nil && q.Name == queue && j.schedulable() && !j.progress.Started {
 			n++
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -97,6 +97,34 @@
 	return c.queues[name]
 }
 
+// QueueRef refers to a queue by its name and by where it took a job. Either may change.
+type QueueRef struct {
+	Name   string
+	Host   string
+	Prefix string
+}
+
+// isAt reports whether the queue takes jobs where r says.
+func (q *Queue) isAt(r QueueRef) bool {
+	return r.Prefix != "" && q.Prefix == r.Prefix && strings.EqualFold(q.Host, r.Host)
+}
+
+// Is reports whether r refers to the queue.
+func (q *Queue) Is(r QueueRef) bool { return q.Name == r.Name || q.isAt(r) }
+
+// Lookup returns the queue that r refers to, by its name if there is one of that name, or nil.
+func (c *Config) Lookup(r QueueRef) *Queue {
+	if q := c.Queue(r.Name); q != nil {
+		return q
+	}
+	for i := range c.Queues {
+		if q := &c.Queues[i]; q.isAt(r) {
+			return q
+		}
+	}
+	return nil
+}
+
 // GuaranteedAccelerators returns the number of accelerators guaranteed to a customer.
 func (c *Config) GuaranteedAccelerators(customer string) int {
 	for _, v := range c.Customers {
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -144,12 +144,14 @@
 	Job      string
 }
 
-// JobState is the state of a job as a graph.State, and its queue. State is empty if the
-// scheduler does not know the job.
+// JobState is the state of a job as a graph.State, and its queue by name and by where it took
+// the job. State is empty if the scheduler does not know the job.
 type JobState struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	State    string
 	Queue    string
+	Host     string
+	Prefix   string
 }
 
 // GetPendingCount asks the scheduler how many jobs of a queue have not started yet. The reply
