--- a/leader/election.go
+++ b/leader/election.go
@@ -178,18 +178,20 @@
 	return r.holder.Nonce == nonce
 }
 
-// recordRenewal records that the store has answered a renewal that was sent at a time.
-func (r *Role) recordRenewal(sentAt clock.Time) {
+// certain returns how long ago the last renewal was sent that the store has answered, and
+// whether that is recent enough to act by the role.
+func (r *Role) certain() (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.renewedAt = sentAt
+	d := r.clock.Since(r.renewedAt)
+	return d, d <= maxUnrenewedTime
 }
 
-// unrenewedFor returns how long ago the last renewal was sent that the store has answered.
-func (r *Role) unrenewedFor() time.Duration {
+// recordRenewal records that the store has answered a renewal that was sent at a time.
+func (r *Role) recordRenewal(sentAt clock.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.clock.Since(r.renewedAt)
+	r.renewedAt = sentAt
 }
 
 // renewLoop renews the lease until the store reports that it has expired, or c ends.
--- a/leader/order.go
+++ b/leader/order.go
@@ -171,7 +171,7 @@
 	var l []*job
 	for _, j := range t.jobs {
 		j.withinGuarantee = false
-		if q := t.queue(j); q != nil && q.Priority == 0 && j.schedulable() {
+		if q := o.Config.Lookup(QueueRefOf(j.Job)); q != nil && q.Priority == 0 && j.schedulable() {
 			l = append(l, j)
 		}
 	}
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -73,8 +73,7 @@
 // roleCertain reports whether the role was renewed recently enough to act by it: the tasks
 // that a scheduler starts or keeps alive after that may run a second time under a successor.
 func (t *term) roleCertain() bool {
-	d := t.leader.role.unrenewedFor()
-	certain := d <= maxUnrenewedTime
+	d, certain := t.leader.role.certain()
 	if certain == t.roleUncertain {
 		t.roleUncertain = !certain
 		t.log.WithFields(logrus.Fields{"certain": certain, "unrenewed_ms": d.Milliseconds()}).Warn("role_certainty_changed")
--- a/leader/session.go
+++ b/leader/session.go
@@ -137,7 +137,7 @@
 // pingLoop pings an agent until a ping fails or c ends.
 func (t *term) pingLoop(c context.Context, m *agentState, p *wire.Peer) error {
 	for wait := time.Duration(0); pause.For(c, wait); wait = pingInterval {
-		if t.leader.role.unrenewedFor() > maxUnrenewedTime {
+		if _, certain := t.leader.role.certain(); !certain {
 			continue
 		}
 		sentAt := time.Now()
--- a/leader/term.go
+++ b/leader/term.go
@@ -139,8 +139,10 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, j := range t.jobs {
-		q := t.queue(j)
-		if q != nil && q.Name == queue && j.schedulable() && !j.progress.Started {
+		if !j.schedulable() || j.progress.Started {
+			continue
+		}
+		if q := t.queue(j); q != nil && q.Name == queue {
 			n++
 		}
 	}
