Believe no heartbeat of another incarnation while the worker does not answer

Cause: the agent asks the worker who it is, and believed a later start time for want of an answer. Now such a heartbeat is refused; a worker that has really restarted sends the next one 1.5 s later, and gets no task before it answers anyway. Without a known worker the first heartbeat is believed as before.

Evidence: TestBusyWorkerIsNotDisplaced failed on (the heartbeat was accepted, and the ledger had lost the run), and passes now.

--- a/runner/identity.go
+++ b/runner/identity.go
@@ -21,11 +21,22 @@
 	return fmt.Sprintf("the worker at this address is not incarnation %q; its start time is %d", e.ID, e.Born)
 }
 
+// UnconfirmedHeartbeatError says that a heartbeat names another incarnation than the known worker,
+// and that the worker did not answer when it was asked. The heartbeat may be sent again.
+type UnconfirmedHeartbeatError struct {
+	ID   string
+	Born int64
+}
+
+func (e *UnconfirmedHeartbeatError) Error() string {
+	return fmt.Sprintf("the worker did not confirm that it is incarnation %q, started at %d", e.ID, e.Born)
+}
+
 // identity says what is known of the sender of a heartbeat.
 type identity int
 
 const (
-	// unknown means that the worker did not answer.
+	// unknown means that the worker did not answer, and that no other one is known.
 	unknown identity = iota
 	// same means that the heartbeat is of the incarnation that is known already.
 	same
@@ -35,7 +46,7 @@
 
 // identify finds out whether a heartbeat is from the worker. One that names another
 // incarnation than the known one, later or earlier, is believed if the worker itself answers as
-// that incarnation.
+// that incarnation: the known one may only be busy.
 func (r *Runner) identify(f wire.WorkerInfo) (identity, error) {
 	r.mu.Lock()
 	old := r.worker
@@ -62,6 +73,12 @@
 			ID:   f.ID,
 			Born: a.Listing.Incarnation,
 		}
+	case old.ID != "" && !old.Gone:
+		r.ports.Meter.HeartbeatRefused()
+		return unknown, &UnconfirmedHeartbeatError{
+			ID:   f.ID,
+			Born: f.Born,
+		}
 	}
 	return unknown, nil
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -160,7 +160,8 @@
 
 // HandleHeartbeat handles a heartbeat from the worker. seq is the heartbeat's sequence
 // number; a heartbeat that was overtaken by a newer one is ignored. It returns
-// *ForeignHeartbeatError if the worker does not answer to the identity in the heartbeat.
+// *ForeignHeartbeatError if the worker does not answer to the identity in the heartbeat, and
+// *UnconfirmedHeartbeatError if it does not answer at all and another one is known.
 func (r *Runner) HandleHeartbeat(f wire.WorkerInfo, seq, clockMS int64) error {
 	id, err := r.identify(f)
 	if err != nil {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -335,6 +335,36 @@
 	})
 }
 
+// TestBusyWorkerIsNotDisplaced guards against a heartbeat of another writer that arrives while the
+// worker does not answer, and is believed for want of an answer: the worker's task is started
+// elsewhere while it runs.
+func TestBusyWorkerIsNotDisplaced(t *testing.T) {
+	w := &fakeWorker{}
+	withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
+		if k := launch(c, r, p, "0123456789abcdef.0.0.0", 1); k != 0 {
+			t.Fatalf("start: code %s", k)
+		}
+		for _, id := range []string{"w1", "w9"} {
+			w.unresponsive = true
+			err := r.HandleHeartbeat(wire.WorkerInfo{
+				Known:    true,
+				ID:       id,
+				Born:     workerStart + 5000,
+				Capacity: workerCapacity,
+			}, 1, 1)
+			var u *runner.UnconfirmedHeartbeatError
+			if !errors.As(err, &u) {
+				t.Errorf("heartbeat of another writer as %s: %v", id, err)
+			}
+			w.unresponsive = false
+			time.Sleep(2 * time.Second)
+			if k := launch(c, r, p, "0123456789abcdef.0.0.0", 2); k != wire.CodeBusy {
+				t.Errorf("second attempt beside the first: code %s", k)
+			}
+		}
+	})
+}
+
 // TestLastEndIsAcknowledged guards against ends that the scheduler has recorded and the worker
 // keeps, since its agent calls it no more once nothing runs there.
 func TestLastEndIsAcknowledged(t *testing.T) {
