Set slow or failing workers aside only as long as others are left

Cause, three in one place. The speed of a run was compared with the mean of its queue alone, though the steps of one queue differ; progress of less than one percent within 0.9 s counted as none, so that a long run seemed to take an hour; and a worker that counts as slow, or as failing, got nothing at all, also when no other worker was left. The class: a comparison that excludes, whatever it leaves over.

Now a run is compared with its estimate too, a window without progress goes on until there is some, and outliers are set aside only while they are at most half of the workers of a service; a unit that could not run anywhere else, or whose job has run nothing for 2 s while half of the service is free, is placed on them, after all others.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -47,6 +47,9 @@
 	// FailureScore rises with recent failures of the worker; workers with a lower value
 	// are preferred.
 	FailureScore int
+	// Outlier means that the worker fails or is slow beside the others of its service. Units
+	// are placed there only as a last resort.
+	Outlier bool
 
 	// extra is the free capacity that no reservation will need, available to units
 	// that may still run when a reservation starts (the "extra nodes" of EASY
@@ -113,6 +116,8 @@
 	// extraOnly restricts the unit to extra capacity, because it may still run
 	// when a reservation starts.
 	extraOnly bool
+	// admitsOutliers lets the unit run on outliers.
+	admitsOutliers bool
 }
 
 // Placement starts task i of a unit on the worker with index At[i].
@@ -150,11 +155,14 @@
 	var b backfill
 	p := newPreemptor(w, g)
 	lightlyLoaded := lightlyLoadedServices(w)
+	o := newOutliers(w)
 	unplaceable := map[requirements]bool{}
 	reserved := map[requirements]bool{}
 	for i := range u {
 		v := &u[i]
-		v.extraOnly = b.restricts(v, lightlyLoaded[v.Service])
+		starved := lightlyLoaded[v.Service] && v.IdleTime >= maxStarvedTime
+		v.extraOnly = !starved && !b.endsBeforeReservations(v)
+		v.admitsOutliers = o.admitted(w, v, starved)
 		// Free capacity only shrinks: requirements that could not be met once
 		// cannot be met by a later unit either.
 		z := requirementsOf(v)
@@ -239,6 +247,7 @@
 	anyRack      bool
 	extraOnly    bool
 	apart        bool
+	outliers     bool
 }
 
 func requirementsOf(u *Unit) requirements {
@@ -253,6 +262,7 @@
 		anyRack:      u.AnyRack,
 		extraOnly:    u.extraOnly,
 		apart:        u.Apart,
+		outliers:     u.admitsOutliers,
 	}
 }
 
@@ -357,7 +367,7 @@
 	if u.AllowedWorkers != nil && !u.AllowedWorkers[i] {
 		return false
 	}
-	if v.Unschedulable || v.Service != u.Service {
+	if v.Unschedulable || v.Service != u.Service || v.Outlier && !u.admitsOutliers {
 		return false
 	}
 	if u.Step.BestEffort && v.RunsLatencyTasks || u.Step.TailLatencyTarget > 0 && v.RunsBestEffort {
--- a/alloc/backfill.go
+++ b/alloc/backfill.go
@@ -13,12 +13,12 @@
 // that other units could use meanwhile.
 const maxReservations = 4
 
-// A job that has run nothing for maxReservationIdle may use reserved capacity if at
-// most lightLoadShare of its service is in use. Capacity that stays free for that
-// long while jobs wait is wasted.
+// A job is starved if it has run nothing for maxStarvedTime while at most lightLoadShare of its
+// service is in use. It may use reserved capacity, and outliers: capacity that stays free for
+// that long while jobs wait is wasted.
 const (
-	maxReservationIdle = 2 * time.Second
-	lightLoadShare     = 0.5
+	maxStarvedTime = 2 * time.Second
+	lightLoadShare = 0.5
 )
 
 // lightlyLoadedServices returns the services whose most used resource is in use by
@@ -67,13 +67,6 @@
 	return true
 }
 
-// restricts reports whether a unit may use only extra capacity. A unit whose job
-// has been idle for too long on a lightly loaded service is exempt.
-func (b *backfill) restricts(u *Unit, lightlyLoaded bool) bool {
-	starved := lightlyLoaded && u.IdleTime >= maxReservationIdle
-	return !starved && !b.endsBeforeReservations(u)
-}
-
 // reserve makes a reservation for a unit at the earliest time at which it fits if
 // the groups end as expected.
 func (b *backfill) reserve(w []Worker, g []Group, u *Unit) {
--- a/leader/failures.go
+++ b/leader/failures.go
@@ -7,20 +7,21 @@
 	"hemlockhinge/wire"
 )
 
-// Rules for blocking a worker on which runs fail.
+// Rules for setting a worker aside on which runs fail.
 const (
-	// blockingFailedJobs is the number of failed jobs that blocks the worker.
-	blockingFailedJobs = 2
+	// outlierFailedJobs is the number of failed jobs that makes a worker an outlier.
+	outlierFailedJobs = 2
 	// failureMemory is how long a job's failure counts.
 	failureMemory = 15 * time.Second
-	// blockDuration is how long the worker is blocked after the last failure.
-	blockDuration = 4 * time.Second
-	// blockedScore is the failure score of a worker that gets no tasks.
-	blockedScore = 1 << 10
+	// outlierDuration is how long after the last failure the worker is an outlier.
+	outlierDuration = 4 * time.Second
+	// outlierScore is the failure score of an outlier, which gets tasks only as a last
+	// resort.
+	outlierScore = 1 << 10
 )
 
 // failureTracker detects a worker that fails whatever it is given. It counts failed
-// jobs rather than failed runs, so that one faulty job does not block a worker.
+// jobs rather than failed runs, so that one faulty job makes no outlier.
 type failureTracker struct {
 	failedAt    map[string]time.Time
 	lastFailure time.Time
@@ -53,7 +54,7 @@
 }
 
 // score returns the number of jobs that recently failed at the worker, or
-// blockedScore while the worker is to get no tasks.
+// outlierScore while the worker is an outlier.
 func (g *failureTracker) score(now time.Time) int {
 	n := 0
 	for k, t := range g.failedAt {
@@ -63,8 +64,8 @@
 		}
 		n++
 	}
-	if n >= blockingFailedJobs && now.Sub(g.lastFailure) < blockDuration {
-		return blockedScore
+	if n >= outlierFailedJobs && now.Sub(g.lastFailure) < outlierDuration {
+		return outlierScore
 	}
 	return n
 }
--- a/leader/failures_test.go
+++ b/leader/failures_test.go
@@ -20,8 +20,8 @@
 	}{
 		{"no ends", nil, 0, 0},
 		{"one job that fails repeatedly", []graph.End{fail("a"), fail("a"), fail("a")}, 0, 1},
-		{"two jobs that fail", []graph.End{fail("a"), fail("b")}, 0, blockedScore},
-		{"unblocked after blockDuration", []graph.End{fail("a"), fail("b")}, blockDuration, 2},
+		{"two jobs that fail", []graph.End{fail("a"), fail("b")}, 0, outlierScore},
+		{"unblocked after outlierDuration", []graph.End{fail("a"), fail("b")}, outlierDuration, 2},
 		{"failures expire", []graph.End{fail("a"), fail("b")}, failureMemory + time.Second, 0},
 		{"a success clears failures", []graph.End{fail("a"), done, fail("b")}, 0, 1},
 		{"stopped runs do not count", []graph.End{{Task: graph.Task{Job: "a"}, Outcome: graph.OutcomeStopped}}, 0, 0},
@@ -54,7 +54,7 @@
 		{"a", wire.CodeFailed, 1},
 		{"a", wire.CodeFailed, 1},
 		{"b", wire.CodeLost, 1},
-		{"b", wire.CodeFailed, blockedScore},
+		{"b", wire.CodeFailed, outlierScore},
 	} {
 		g.recordRefusal(graph.Task{Job: c.job}, c.code, now)
 		if d := g.score(now); d != c.want {
--- a/leader/lasting_test.go
+++ b/leader/lasting_test.go
@@ -45,3 +45,44 @@
 		})
 	}
 }
+
+// TestLongTasksAreNotSlow guards against workers that are set aside because their tasks are long:
+// less than one percent of progress shows nothing for seconds, and other tasks of the queue
+// may be short.
+func TestLongTasksAreNotSlow(t *testing.T) {
+	const interval = 400 * time.Millisecond
+	cases := []struct {
+		name  string
+		takes time.Duration
+		slow  bool
+	}{
+		{"as long as estimated", 10 * time.Minute, false},
+		{"twice as long", 20 * time.Minute, false},
+		{"ten times as long", 100 * time.Minute, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := newReportTest()
+				v.job.Steps[0].Estimate = 10 * time.Minute
+				v.term.meanRunTime[v.job.Queue] = time.Second
+				v.confirm(1)
+				begun := time.Now()
+				slow := false
+				for seq := uint64(2); time.Since(begun) < 2*time.Minute; seq++ {
+					time.Sleep(interval)
+					d := time.Since(begun)
+					v.term.applyReport(v.agent, 1, v.report(seq, 1000+d.Milliseconds(), wire.RunState{
+						Task:    testTask.String(),
+						Attempt: 1,
+						Percent: int(fullPercent * d / c.takes),
+					}), false)
+					slow = slow || v.term.isSlow(v.agent)
+				}
+				if slow != c.slow {
+					t.Errorf("the worker counts as slow: %t", slow)
+				}
+			})
+		})
+	}
+}
--- a/leader/order.go
+++ b/leader/order.go
@@ -70,9 +70,9 @@
 	return max(d-now.Sub(j.arrivedAt)-slackMargin, t.leader.settings.MaxStopTime)
 }
 
-// Thresholds for slow workers. A run is slow if it takes slowFactor times its queue's
-// mean run time; a worker is slow with slowRuns slow runs, or with one that takes
-// slowAloneFactor times the mean.
+// Thresholds for slow workers. A run is slow if it takes slowFactor times as long as its queue's
+// mean run time and its estimate say; a worker is slow with slowRuns slow runs, or with one that
+// takes slowAloneFactor times as long.
 const (
 	slowFactor      = 3.0
 	slowRuns        = 2
@@ -80,7 +80,7 @@
 )
 
 // isSlow reports whether all runs at a worker whose speed is known progress far more
-// slowly than the mean of their queues.
+// slowly than runs of their queues and steps should. Steps of one queue may differ much.
 func (t *term) isSlow(m *agentState) bool {
 	slow, worst := 0, 0.0
 	for k, r := range m.runs {
@@ -93,7 +93,7 @@
 		if mean == 0 || !ok {
 			continue
 		}
-		f := float64(d) / float64(mean)
+		f := float64(d) / float64(max(mean, j.Steps[k.Step].Estimate))
 		if f < slowFactor {
 			return false
 		}
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -109,7 +109,7 @@
 		f := m.worker
 		d := m.failureScore(now)
 		if t.isSlow(m) {
-			d = blockedScore
+			d = outlierScore
 		}
 		w = append(w, alloc.Worker{
 			ID:               m.addr,
@@ -120,11 +120,12 @@
 			Free:             f.Capacity.Sub(m.usedCapacity()),
 			RunsLatencyTasks: m.runsStep(t, func(s *graph.Step) bool { return s.TailLatencyTarget > 0 }),
 			RunsBestEffort:   m.runsStep(t, func(s *graph.Step) bool { return s.BestEffort }),
-			Unschedulable:    m.peer == nil || !m.accountedFor || !m.acceptsTasks || !f.Known || f.Leaving || f.Gone || out[f.Zone] || d >= blockedScore,
+			Unschedulable:    m.peer == nil || !m.accountedFor || !m.acceptsTasks || !f.Known || f.Leaving || f.Gone || out[f.Zone],
 			KeepApart:        m.startedSuspect(now),
 			Leaving:          f.Leaving,
 			LeavesIn:         max(m.leavesAt.Sub(now), 0),
 			FailureScore:     d,
+			Outlier:          d >= outlierScore,
 		})
 	}
 	return w, agents
--- a/leader/progress.go
+++ b/leader/progress.go
@@ -16,8 +16,8 @@
 type runProgress struct {
 	percent    int
 	observedAt time.Time
-	// rate is the progress in percent per second over the last complete window. It
-	// is valid if hasRate is set.
+	// rate is the progress in percent per second over the last window of rateWindow or
+	// more, at most. It is valid if hasRate is set.
 	rate          float64
 	hasRate       bool
 	windowPercent int
@@ -31,10 +31,13 @@
 		p.windowStart = now
 	}
 	if d := now.Sub(p.windowStart); d >= rateWindow {
-		p.rate = float64(percent-p.windowPercent) / d.Seconds()
+		// Progress of less than one percent does not show, so a window without any goes on.
+		p.rate = float64(max(percent-p.windowPercent, 1)) / d.Seconds()
 		p.hasRate = true
-		p.windowPercent = percent
-		p.windowStart = now
+		if percent > p.windowPercent {
+			p.windowPercent = percent
+			p.windowStart = now
+		}
 	}
 	p.percent = percent
 	p.observedAt = now
@@ -57,8 +60,5 @@
 	if !p.hasRate {
 		return 0, false
 	}
-	if p.rate <= 0 {
-		return time.Hour, true
-	}
 	return time.Duration(fullPercent / p.rate * float64(time.Second)), true
 }
