Renew the role only with an answer, once its holder may not act by it

Cause: since a scheduler stops acting 2.5 s after its last answered renewal, it went on renewing the role that it may not use; no other process could take it.

Now, once it may not act, it asks the store for the role's key first, and renews only with an answer; without one the role lapses.

--- a/leader/election.go
+++ b/leader/election.go
@@ -196,9 +196,14 @@
 
 // renewLoop renews the lease until the store reports that it has expired, or c ends.
 // An unreachable store does not end the term, since it may be out of reach for all
-// processes and pause its leases.
+// processes and pause its leases. A scheduler that may not act by the role renews it only once
+// the store has answered: renewals may get through though their answers do not, and would
+// keep the role from a process that can act.
 func (r *Role) renewLoop(c context.Context, g leadership) {
 	for pause.For(c, roleRenewInterval) {
+		if _, certain := r.certain(); !certain && !r.storeAnswers(c) {
+			continue
+		}
 		sentAt := r.clock.Now()
 		err := r.store.Keep(c, g.lease)
 		if err == nil {
@@ -215,6 +220,13 @@
 	}
 }
 
+// storeAnswers reports whether the store answers a read.
+func (r *Role) storeAnswers(c context.Context) bool {
+	_, err := r.store.Get(c, roleKey)
+	var notFound *store.NotFoundError
+	return err == nil || errors.As(err, &notFound)
+}
+
 // release gives the role up by revoking its lease.
 func (r *Role) release(c context.Context, g leadership) {
 	if err := r.store.Revoke(c, g.lease); err != nil {
