Count an end as that of a run only at the worker that lists it

Cause, from the logs: a scheduler in the zone that was then cut off had started the task as attempt 17, which nobody else knew; starts are not recorded. The next one took it for lost, rightly, and started it elsewhere, as attempt 17 too: both had counted from the recorded attempt 0. When the zone was back, its worker listed the end of its own attempt 17, lapsed, and the scheduler matched it by task and attempt with the run at the other worker, took that as ended and started the task again. The class: an identity that two parties can give out alike.

Now an end belongs to a run only if its worker lists it, and attempt numbers of a term begin at a multiple of the revisions since the job was accepted, so that no two terms use the same. A run whose task was done elsewhere is stopped.

--- a/leader/job.go
+++ b/leader/job.go
@@ -112,6 +112,8 @@
 	apart bool
 	// survived means that the run has progressed after survivalTime.
 	survived bool
+	// superseded means that another run of the task was done.
+	superseded bool
 	// startUnconfirmed means that the reply to the start was lost.
 	startUnconfirmed bool
 	// session is the number of the session in which the start was requested, and
--- a/leader/launch.go
+++ b/leader/launch.go
@@ -14,14 +14,7 @@
 // startUnit starts a unit's tasks on the workers that alloc chose.
 func (t *term) startUnit(p alloc.Placement, agents []*agentState, now time.Time) {
 	j := t.jobs[p.Unit.Job]
-	attempt := 0
-	for _, k := range p.Unit.Tasks {
-		attempt = max(attempt, j.progress.Task(j.Job, k).Attempt)
-	}
-	attempt++
-	if j.revision < t.leadership.epoch && !j.startedInTerm[p.Unit.Tasks[0]] {
-		attempt += attemptGap
-	}
+	attempt := t.nextAttempt(j, p.Unit.Tasks)
 	for i, k := range p.Unit.Tasks {
 		if j.startedInTerm == nil {
 			j.startedInTerm = map[graph.Task]bool{}
@@ -48,6 +41,21 @@
 	}
 }
 
+// nextAttempt returns the number of the next attempt at tasks that start together. Starts are
+// not recorded, so numbers of earlier terms may be unknown. Terms differ in their epochs, and
+// so do the numbers that they begin with.
+func (t *term) nextAttempt(j *job, tasks []graph.Task) int {
+	n := 0
+	for _, k := range tasks {
+		n = max(n, j.progress.Task(j.Job, k).Attempt)
+	}
+	n++
+	if j.revision < t.leadership.epoch && !j.startedInTerm[tasks[0]] {
+		return max(n+attemptGap, attemptGap*int(t.leadership.epoch-j.revision)) //nolint:gosec // a number of revisions
+	}
+	return n
+}
+
 // checkpointFor returns the checkpoint from which a task resumes. All members of a
 // gang get the same one: the newest of any member.
 func checkpointFor(j *job, k graph.Task) string {
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// attemptGap is added to the attempt number when this term first starts a task of
-	// an older job: earlier terms may have used numbers that were not recorded.
+	// attemptGap is the distance between the attempt numbers that two terms begin with for
+	// each revision between their epochs. A term seldom needs as many for one task.
 	attemptGap = 16
 	// spreadWaitFactor times its estimate is how long a step waits for free capacity
 	// in one rack before it may be spread over several.
--- a/leader/report.go
+++ b/leader/report.go
@@ -238,9 +238,16 @@
 	})
 }
 
-// recordEnd records the end of a run in the progress of its job.
+// recordEnd records the end of a run in the progress of its job. Another run of the task may
+// exist at another agent: the end then belongs to an earlier one, which this scheduler took for
+// lost, or did not know.
 func (t *term) recordEnd(j *job, m *agentState, e graph.End) {
-	if r := j.runs[e.Task]; r != nil && r.attempt == e.Attempt {
+	r := j.runs[e.Task]
+	switch {
+	case r == nil:
+	case r.agent != m || r.attempt != e.Attempt:
+		r.superseded = r.superseded || e.Outcome == graph.OutcomeDone
+	default:
 		delete(j.runs, e.Task)
 		delete(r.agent.runs, e.Task)
 		m.failures.recordEnd(e, time.Now())
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -196,3 +196,64 @@
 		}
 	})
 }
+
+// TestEndOfAnotherRun guards against two runs of one task: the end of a run that an earlier term
+// had started elsewhere, with the same attempt number, counts as that of the present run, whose
+// task is then started once more.
+func TestEndOfAnotherRun(t *testing.T) {
+	for _, c := range []struct {
+		how        graph.Outcome
+		superseded bool
+	}{
+		{graph.OutcomeLeaseExpired, false},
+		{graph.OutcomeFailed, false},
+		{graph.OutcomeDone, true},
+	} {
+		t.Run(string(c.how), func(t *testing.T) {
+			v := newReportTest()
+			v.confirm(1)
+			m := newAgentState("b", func() {})
+			v.term.agents[m.addr] = m
+			s := v.report(1, 1000)
+			s.Ends = []wire.EndState{{
+				N:       1,
+				Task:    testTask.String(),
+				Attempt: v.run.attempt,
+				How:     string(c.how),
+			}}
+			v.term.sessionOpened(m, &wire.Peer{}, 1, s)
+			if v.job.runs[testTask] != v.run || v.agent.runs[testTask] != v.run {
+				t.Error("the run at the other agent counts as ended")
+			}
+			if v.run.superseded != c.superseded {
+				t.Errorf("the run counts as superseded: %t", v.run.superseded)
+			}
+		})
+	}
+}
+
+// TestAttemptsOfTermsDiffer guards against two runs with one number: starts are not recorded, so a
+// term does not know the numbers that those before it have used.
+func TestAttemptsOfTermsDiffer(t *testing.T) {
+	const terms, starts = 5, 10
+	used := map[int]uint64{}
+	for epoch := uint64(testEpoch); epoch < testEpoch+terms; epoch++ {
+		v := newTestTerm()
+		v.leadership.epoch = epoch
+		j := newJob(&graph.Job{
+			ID:    testTask.Job,
+			Steps: []graph.Step{{Count: 1}},
+		}, testEpoch-1)
+		last := 0
+		for range starts {
+			n := v.nextAttempt(j, []graph.Task{testTask})
+			if e, found := used[n]; found || n <= last {
+				t.Errorf("epoch %d: attempt %d after %d, used by epoch %d", epoch, n, last, e)
+			}
+			used[n] = epoch
+			last = n
+			j.startedInTerm = map[graph.Task]bool{testTask: true}
+			j.progress.Task(j.Job, testTask).Attempt = n
+		}
+	}
+}
--- a/leader/stop.go
+++ b/leader/stop.go
@@ -20,6 +20,9 @@
 	for _, j := range t.jobs {
 		for k, r := range j.runs {
 			if j.progress.Task(j.Job, k).Done {
+				if r.superseded {
+					t.stopRun(r, now)
+				}
 				continue
 			}
 			if r.stopping || !j.schedulable() || (j.Steps[k.Step].Gang && !unaccounted && !j.gangComplete(k, now)) {
