--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -213,6 +213,10 @@
 // errOvertaken says that CatchUp has applied later changes than a listing shows.
 var errOvertaken = errors.New("the listing is older than changes that are applied")
 
+// errEmptyPage says that a listing goes on after a page without keys, so that what it lacks
+// cannot be told.
+var errEmptyPage = errors.New("a page of a listing that goes on has no keys")
+
 // applyListing applies the differences of a listing from the known state, unless later
 // changes are applied already.
 func (m *Mirror) applyListing(items []store.Item, revision uint64) bool {
@@ -300,9 +304,12 @@
 			revision = p.Revision
 		}
 		all = append(all, p.Items...)
-		if !p.More || len(p.Items) == 0 {
+		if !p.More {
 			return all, revision, nil
 		}
+		if len(p.Items) == 0 {
+			return nil, 0, errEmptyPage
+		}
 		after = p.Items[len(p.Items)-1].Key
 	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -294,3 +294,18 @@
 		t.Errorf("applied %q", w)
 	}
 }
+
+// TestListingWithoutItsLastPage guards against keys that count as deleted, because a listing is
+// taken as complete although the store says that it goes on.
+func TestListingWithoutItsLastPage(t *testing.T) {
+	empty := page(9)
+	empty.More = true
+	first := page(9, put("a", 1))
+	first.More = true
+	s := &scriptedStore{
+		lists: []store.Page{first, empty},
+	}
+	if l, _, err := mirror.ListAll(context.Background(), s, ""); err == nil {
+		t.Errorf("the listing counts as complete: %v", l)
+	}
+}
