--- a/leader/agent.go
+++ b/leader/agent.go
@@ -57,6 +57,8 @@
 	clockOffset    time.Duration
 	hasClockOffset bool
 	failures       failureTracker
+	// outlier means that the worker fails or is slow beside others.
+	outlier bool
 	// lostStartAt is when a start was last refused because the worker did not answer the
 	// agent, or the order came too late.
 	lostStartAt time.Time
--- a/leader/dump.go
+++ b/leader/dump.go
@@ -47,6 +47,7 @@
 	Runs             int    `json:"runs"`
 	UnexpectedRuns   int    `json:"unexpected_runs,omitempty"`
 	FailureScore     int    `json:"doubt,omitempty"`
+	Outlier          bool   `json:"outlier,omitempty"`
 	FreeAccelerators int    `json:"free_accelerators"`
 	Accelerators     int    `json:"accelerators"`
 }
@@ -146,6 +147,7 @@
 		Runs:             len(m.runs),
 		UnexpectedRuns:   len(m.unexpected),
 		FailureScore:     m.failureScore(now),
+		Outlier:          m.outlier,
 		FreeAccelerators: f.Capacity.Sub(m.usedCapacity()).Accelerators,
 		Accelerators:     f.Capacity.Accelerators,
 	}
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -107,10 +107,7 @@
 	w := make([]alloc.Worker, 0, len(agents))
 	for _, m := range agents {
 		f := m.worker
-		d := m.failureScore(now)
-		if t.isSlow(m) {
-			d = outlierScore
-		}
+		d := t.outlierScoreOf(m, now)
 		w = append(w, alloc.Worker{
 			ID:               m.addr,
 			Rack:             f.Rack,
@@ -131,6 +128,21 @@
 	return w, agents
 }
 
+// outlierScoreOf returns the failure score of a worker, at least outlierScore if it is slow or
+// fails, and logs when that changes.
+func (t *term) outlierScoreOf(m *agentState, now time.Time) int {
+	d := m.failureScore(now)
+	slow := t.isSlow(m)
+	if slow {
+		d = max(d, outlierScore)
+	}
+	if outlier := d >= outlierScore; outlier != m.outlier {
+		m.outlier = outlier
+		t.log.WithFields(logrus.Fields{"agent": m.addr, "worker": m.worker.ID, "outlier": outlier, "slow": slow, "runs": len(m.runs)}).Info("worker_outlier_changed")
+	}
+	return d
+}
+
 // runsStep reports whether the worker has a run of a step for which f returns true.
 func (m *agentState) runsStep(t *term, f func(*graph.Step) bool) bool {
 	for k := range m.runs {
