--- a/leader/election.go
+++ b/leader/election.go
@@ -187,6 +187,13 @@
 	return d, d <= maxUnrenewedTime
 }
 
+// mayHaveExpired reports whether the role has not been renewed for as long as it lasts, so that
+// another process may have acquired it.
+func (r *Role) mayHaveExpired() bool {
+	d, _ := r.certain()
+	return d >= roleTTL
+}
+
 // recordRenewal records that the store has answered a renewal that was sent at a time.
 func (r *Role) recordRenewal(sentAt clock.Time) {
 	r.mu.Lock()
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -257,3 +258,40 @@
 		}
 	}
 }
+
+// countingNet counts the connections that are asked for, and opens none.
+type countingNet struct {
+	wire.Network
+	dials int
+}
+
+func (n *countingNet) Dial(context.Context, string) (net.Conn, error) {
+	n.dials++
+	return nil, errors.New("no connection")
+}
+
+// TestNoSessionAfterRoleMayHaveExpired guards against two schedulers that start one task at a
+// hand-over: an agent that is restarted forgets that a successor has a session with it, and
+// accepts one of the old scheduler, which still acts by its sessions.
+func TestNoSessionAfterRoleMayHaveExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newReportTest()
+		n := &countingNet{}
+		v.term.leader.ports.Net = n
+		for _, c := range []struct {
+			after time.Duration
+			dials int
+		}{
+			{0, 1},
+			{roleTTL - time.Millisecond, 2},
+			{roleTTL, 2},
+			{maxUnrenewedTime, 2},
+		} {
+			v.term.leader.role.recordRenewal(v.term.leader.role.clock.Now())
+			time.Sleep(c.after)
+			if err := v.term.runSession(context.Background(), v.agent); err == nil || n.dials != c.dials {
+				t.Errorf("%s after the last renewal: %d connections, %v", c.after, n.dials, err)
+			}
+		}
+	})
+}
--- a/leader/session.go
+++ b/leader/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,9 @@
 	maxPingLateness = 3 * time.Second
 )
 
+// errRoleMayHaveExpired says that no session is opened before the role is renewed.
+var errRoleMayHaveExpired = errors.New("the scheduler's role may have expired")
+
 // maintainSession opens sessions with an agent, one after the other, until c ends.
 func (t *term) maintainSession(c context.Context, m *agentState) {
 	select {
@@ -49,9 +53,7 @@
 func (t *term) runSession(c context.Context, m *agentState) error {
 	c, cancel := context.WithCancel(c)
 	defer cancel()
-	d, stop := context.WithTimeout(c, t.allowingForLag(dialTimeout))
-	n, err := t.leader.ports.Net.Dial(d, m.addr)
-	stop()
+	n, err := t.dial(c, m.addr)
 	if err != nil {
 		return err
 	}
@@ -79,6 +81,22 @@
 	return t.pingLoop(c, m, p)
 }
 
+// dial connects to an agent, unless the role may have expired: a successor may have a session with
+// the agent already, whose process forgets that if it is restarted.
+func (t *term) dial(c context.Context, addr string) (net.Conn, error) {
+	d, stop := context.WithTimeout(c, t.allowingForLag(dialTimeout))
+	defer stop()
+	if t.leader.role.mayHaveExpired() {
+		return nil, errRoleMayHaveExpired
+	}
+	n, err := t.leader.ports.Net.Dial(d, addr)
+	if err == nil && t.leader.role.mayHaveExpired() {
+		_ = n.Close()
+		return nil, errRoleMayHaveExpired
+	}
+	return n, err
+}
+
 func (t *term) startSessionMessage() *wire.StartSession {
 	t.mu.Lock()
 	defer t.mu.Unlock()
