--- a/leader/launch.go
+++ b/leader/launch.go
@@ -51,7 +51,8 @@
 	}
 	n++
 	if j.revision < t.leadership.epoch && !j.startedInTerm[tasks[0]] {
-		return max(n+attemptGap, attemptGap*int(t.leadership.epoch-j.revision)) //nolint:gosec // a number of revisions
+		revisions := min(t.leadership.epoch-j.revision, maxFirstAttempt/attemptGap)
+		return max(n+attemptGap, attemptGap*int(revisions)) //nolint:gosec // at most maxFirstAttempt
 	}
 	return n
 }
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -16,6 +16,9 @@
 	// attemptGap is the distance between the attempt numbers that two terms begin with for
 	// each revision between their epochs. A term seldom needs as many for one task.
 	attemptGap = 16
+	// maxFirstAttempt bounds the number that a term begins with: workers may keep it in 32
+	// bits.
+	maxFirstAttempt = 1 << 30
 	// spreadWaitFactor times its estimate is how long a step waits for free capacity
 	// in one rack before it may be spread over several.
 	spreadWaitFactor = 1.0
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -237,6 +237,14 @@
 // term does not know the numbers that those before it have used.
 func TestAttemptsOfTermsDiffer(t *testing.T) {
 	const terms, starts = 5, 10
+	old := newTestTerm()
+	old.leadership.epoch = 1 << 40
+	if n := old.nextAttempt(newJob(&graph.Job{
+		ID:    testTask.Job,
+		Steps: []graph.Step{{Count: 1}},
+	}, 1), []graph.Task{testTask}); n > maxFirstAttempt {
+		t.Errorf("the first attempt at an old job is %d", n)
+	}
 	used := map[int]uint64{}
 	for epoch := uint64(testEpoch); epoch < testEpoch+terms; epoch++ {
 		v := newTestTerm()
