Count a renewal that could not be sent as one that has not arrived

Cause: the agent dated the expiry of all leases from each renewal that it tried, also from those for which nobody listened; it stops trying only after one lease. Now such a renewal moves nothing, unless an order was sent meanwhile. TestWorkGoesElsewhereAfterOneLease failed before; a silent worker, whose renewals may have arrived, takes two leases as before.

--- a/runner/poll.go
+++ b/runner/poll.go
@@ -137,6 +137,7 @@
 // lists of running and ended tasks to the ledger. It is a long poll of up to wait.
 func (r *Runner) renewAndList(c context.Context, wait time.Duration) error {
 	r.mu.Lock()
+	expireAtBefore := r.leasesExpireAt
 	o := RenewOrder{
 		Worker:       r.worker.ID,
 		LeaseEndMS:   r.leaseEnd(),
@@ -145,6 +146,7 @@
 		Wait:         wait,
 	}
 	confirmations := r.ledger.Confirmations()
+	expireAt := r.leasesExpireAt
 	r.mu.Unlock()
 	c, cancel := context.WithTimeout(c, wait+max(longPollSlack, orderTimeout))
 	defer cancel()
@@ -154,6 +156,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.syncClock(a.ClockMS)
+	if rejectionReason(err) == ReasonNotSent && r.leasesExpireAt.Equal(expireAt) {
+		// No lease was renewed, neither by this order nor by another one meanwhile.
+		r.leasesExpireAt = expireAtBefore
+	}
 	r.updateLeasesExpired()
 	if err != nil {
 		if r.unansweredSince.IsZero() {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -44,6 +44,8 @@
 	acknowledged int64
 	starts       int
 	unresponsive bool
+	// closed means that nobody listens at its address.
+	closed bool
 	// incarnation is that of its listings, workerStart if 0.
 	incarnation int64
 	// lastLeaseEnd is the end of the lease of the last order.
@@ -54,6 +56,12 @@
 
 // answer returns nil, or, while the worker is unresponsive, a *NoAnswerError when c ends.
 func (w *fakeWorker) answer(c context.Context, op string) error {
+	if w.closed {
+		return &runner.RejectedError{
+			Op:     op,
+			Reason: runner.ReasonNotSent,
+		}
+	}
 	if !w.unresponsive {
 		return nil
 	}
@@ -421,3 +429,59 @@
 		}
 	})
 }
+
+// TestWorkGoesElsewhereAfterOneLease guards against work on a worker that is gone for good and
+// starts elsewhere only after two leases: renewals that could not be sent counted as if they had
+// arrived. A renewal without an answer may have arrived.
+func TestWorkGoesElsewhereAfterOneLease(t *testing.T) {
+	const (
+		slack = time.Second
+		// pollTime is how long before its loss the worker may have got its last renewal.
+		pollTime = time.Second
+	)
+	for _, c := range []struct {
+		name string
+		lose func(w *fakeWorker)
+		want time.Duration
+	}{
+		{"gone", func(w *fakeWorker) { w.closed = true }, lease + slack},
+		{"silent", func(w *fakeWorker) { w.unresponsive = true }, 2*lease + 2*slack},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := &fakeWorker{}
+			withRunner(t, w, func(x context.Context, r *runner.Runner, p *wire.Peer) {
+				if k := launch(x, r, p, "0123456789abcdef.0.0.0", 1); k != 0 {
+					t.Fatalf("start: code %s", k)
+				}
+				time.Sleep(time.Second)
+				c.lose(w)
+				begun := time.Now()
+				for session := uint64(2); !isVacant(x, t, r, p, session); session++ {
+					time.Sleep(100 * time.Millisecond)
+					if time.Since(begun) > c.want {
+						t.Errorf("the task counts as running %s after the worker was lost", c.want)
+						return
+					}
+				}
+				if d := time.Since(begun); d < lease-pollTime {
+					t.Errorf("the task counts as ended after %s, within its lease", d)
+				}
+			})
+		})
+	}
+}
+
+// isVacant opens a session with a number, and reports whether all leases have expired by the
+// status that it gets.
+func isVacant(c context.Context, t *testing.T, r *runner.Runner, p *wire.Peer, session uint64) bool {
+	t.Helper()
+	m, err := r.Handle(c, p, &wire.StartSession{
+		Epoch:   1,
+		Session: session,
+	})
+	s, ok := m.(*wire.AgentStatus)
+	if !ok {
+		t.Fatalf("session %d: %v", session, err)
+	}
+	return s.Vacant
+}
