Remove an agent only once its worker is known to be gone

What callers saw: an accepted job is never completed.

Cause, from the logs: the scheduler had given the new worker its tasks before it saw that the registration was deleted, which is from the worker before. It removed the agent and counted the tasks as lost; one more report of the old session brought them back to the agent that was no longer there; the next session listed them as runs of another agent, which were stopped. The class: an older message undoes what a newer one has told.

Now an agent whose registration is deleted is removed once its worker is known to be gone, or nothing can run there any more; a report to an agent that was removed is ignored; agents are compared by address. TestRegistrationDeletedLate: both cases failed before.

--- a/leader/agent.go
+++ b/leader/agent.go
@@ -21,7 +21,9 @@
 type agentState struct {
 	addr   string
 	cancel context.CancelFunc
-	redial chan struct{}
+	// unregistered is set while the agent's registration is deleted.
+	unregistered bool
+	redial       chan struct{}
 	// lossLogged is set once the loss of the agent is logged, so that it is logged
 	// only once.
 	lossLogged bool
@@ -104,17 +106,15 @@
 // applyAgent applies a change of an agent's registration; t.mu is held.
 func (t *term) applyAgent(addr string, i store.Item) {
 	m := t.agents[addr]
-	if i.Deleted {
-		if m != nil {
-			m.cancel()
-			delete(t.agents, addr)
-			for _, r := range m.runs {
-				t.removeLostRun(m, r)
-			}
-		}
+	switch {
+	case i.Deleted && m == nil:
 		return
-	}
-	if m != nil {
+	case i.Deleted:
+		m.unregistered = true
+		t.removeIfGone(m, time.Now())
+		return
+	case m != nil:
+		m.unregistered = false
 		pause.Wake(m.redial)
 		return
 	}
@@ -124,6 +124,22 @@
 	t.goroutines.Go(func() { t.maintainSession(c, m) })
 }
 
+// removeIfGone removes an agent whose registration was deleted, with its runs, once its worker is
+// known to be gone: the next worker may have come before the deletion was seen, and tasks been
+// started there. t.mu is held.
+func (t *term) removeIfGone(m *agentState, now time.Time) {
+	hasWorker := m.peer != nil && m.worker.Known && !m.worker.Gone
+	inDoubt := m.peer == nil && !m.worker.Gone && len(m.runs) > 0 && !t.workerLeasesExpired(m, now)
+	if !m.unregistered || hasWorker || inDoubt {
+		return
+	}
+	m.cancel()
+	delete(t.agents, m.addr)
+	for _, r := range m.runs {
+		t.removeLostRun(m, r)
+	}
+}
+
 // acknowledgeEnds tells the agent which ends are recorded in the store, so that its
 // worker can discard them; t.mu is held.
 func (m *agentState) acknowledgeEnds() {
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -50,6 +50,7 @@
 				t.removeLostRun(m, r)
 			}
 		}
+		t.removeIfGone(m, now)
 	}
 	t.stopUnwantedRuns(now)
 	t.markGuaranteedJobs()
--- a/leader/report.go
+++ b/leader/report.go
@@ -16,7 +16,7 @@
 func (t *term) applyReport(m *agentState, session uint64, s *wire.AgentStatus, opening bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if session != m.session || s.Seq < m.reportSeq || (s.Seq == m.reportSeq && !opening) {
+	if t.agents[m.addr] != m || session != m.session || s.Seq < m.reportSeq || (s.Seq == m.reportSeq && !opening) {
 		return
 	}
 	m.reportSeq = s.Seq
@@ -245,7 +245,7 @@
 	r := j.runs[e.Task]
 	switch {
 	case r == nil:
-	case r.agent != m || r.attempt != e.Attempt:
+	case r.agent.addr != m.addr || r.attempt != e.Attempt:
 		r.superseded = r.superseded || e.Outcome == graph.OutcomeDone
 	default:
 		delete(j.runs, e.Task)
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -14,6 +14,7 @@
 
 	"hemlockhinge/graph"
 	"hemlockhinge/meter"
+	"hemlockhinge/store"
 	"hemlockhinge/wire"
 )
 
@@ -303,3 +304,38 @@
 		}
 	})
 }
+
+// TestRegistrationDeletedLate guards against a task that is lost for good, or runs twice: a worker
+// leaves, the next one comes and is given tasks, and only then the scheduler sees that the
+// registration was deleted meanwhile. The tasks must not count as lost, and a report may bring none
+// of them to an agent that was removed.
+func TestRegistrationDeletedLate(t *testing.T) {
+	deleted := store.Item{Deleted: true}
+	running := wire.RunState{
+		Task:    testTask.String(),
+		Attempt: 1,
+	}
+	t.Run("the next worker is there", func(t *testing.T) {
+		v := newReportTest()
+		v.confirm(1)
+		v.term.applyAgent(v.agent.addr, deleted)
+		v.term.applyAgent(v.agent.addr, store.Item{})
+		v.term.applyReport(v.agent, 1, v.report(2, 2000, running), false)
+		if v.job.runs[testTask] != v.run || v.term.agents[v.agent.addr] != v.agent || v.agent.unregistered {
+			t.Error("the run or its agent was removed")
+		}
+	})
+	t.Run("the worker is gone", func(t *testing.T) {
+		v := newReportTest()
+		v.confirm(1)
+		v.term.applyAgent(v.agent.addr, deleted)
+		s := v.report(2, 2000)
+		s.Worker.Gone = true
+		v.term.applyReport(v.agent, 1, s, false)
+		v.term.removeIfGone(v.agent, time.Now())
+		v.term.applyReport(v.agent, 1, v.report(3, 3000, running), false)
+		if len(v.job.runs) > 0 || v.term.agents[v.agent.addr] != nil {
+			t.Error("the run or its agent has stayed")
+		}
+	})
+}
