alloc: hold the state of one Decide in a type

The body of the loop in Decide becomes two methods, and the candidates of assign a type with a function to take from them. No decision changes; the tests of alloc and leader pass unchanged.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -151,36 +151,59 @@
 	for i := range w {
 		w[i].extra = w[i].Free
 	}
-	var d Decision
-	var b backfill
-	p := newPreemptor(w, g)
+	c := pass{
+		preemptor:   newPreemptor(w, g),
+		unplaceable: map[requirements]bool{},
+		reserved:    map[requirements]bool{},
+	}
 	lightlyLoaded := lightlyLoadedServices(w)
 	o := newOutliers(w)
-	unplaceable := map[requirements]bool{}
-	reserved := map[requirements]bool{}
 	for i := range u {
 		v := &u[i]
 		starved := lightlyLoaded[v.Service] && v.IdleTime >= maxStarvedTime
-		v.extraOnly = !starved && !b.endsBeforeReservations(v)
+		v.extraOnly = !starved && !c.backfill.endsBeforeReservations(v)
 		v.admitsOutliers = o.admitted(w, v, starved)
-		// Free capacity only shrinks: requirements that could not be met once
-		// cannot be met by a later unit either.
-		z := requirementsOf(v)
-		if !unplaceable[z] {
-			if d.start(p, v) {
-				continue
-			}
-			unplaceable[z] = !v.boundToWorkers()
-		}
-		if v.mayPreempt() && d.preempt(p, v) {
-			continue
+		if !c.try(v) {
+			c.reserve(v)
 		}
-		if v.Reserve && !reserved[z] {
-			reserved[z] = true
-			b.reserve(w, g, v)
+	}
+	return c.decision
+}
+
+// pass is the state of one Decide.
+type pass struct {
+	decision  Decision
+	backfill  backfill
+	preemptor *preemptor
+	// unplaceable holds requirements that do not fit on free capacity, and reserved those
+	// for which a reservation was tried.
+	unplaceable map[requirements]bool
+	reserved    map[requirements]bool
+}
+
+// try starts a unit, or selects groups to stop for it, and reports whether it did.
+func (c *pass) try(u *Unit) bool {
+	// Free capacity only shrinks: requirements that could not be met once
+	// cannot be met by a later unit either.
+	z := requirementsOf(u)
+	if !c.unplaceable[z] {
+		if c.decision.start(c.preemptor, u) {
+			return true
 		}
+		c.unplaceable[z] = !u.boundToWorkers()
+	}
+	return u.mayPreempt() && c.decision.preempt(c.preemptor, u)
+}
+
+// reserve reserves future capacity for a unit that asks for it.
+func (c *pass) reserve(u *Unit) {
+	if !u.Reserve {
+		return
+	}
+	if z := requirementsOf(u); !c.reserved[z] {
+		c.reserved[z] = true
+		c.backfill.reserve(c.preemptor.workers, c.preemptor.groups, u)
 	}
-	return d
 }
 
 // start places a unit on free capacity, and reports whether it fits.
@@ -285,9 +308,12 @@
 	}
 }
 
+// inRack reports whether the unit is a gang that asks for one rack.
+func (u *Unit) inRack() bool { return u.Step.OneRack && len(u.Tasks) > 1 }
+
 // place chooses a worker for each task of a unit, on free capacity only.
 func place(w []Worker, u *Unit) ([]int, bool) {
-	if u.Step.OneRack && len(u.Tasks) > 1 {
+	if u.inRack() {
 		for _, r := range rackOrder(w, u) {
 			if at, ok := assign(w, u, func(v *Worker) bool { return v.Rack == r }); ok {
 				return at, true
@@ -392,13 +418,15 @@
 	return max(n, 0)
 }
 
+// candidate is a worker on which some tasks of a unit fit.
+type candidate struct {
+	worker int
+	fits   int
+}
+
 // assign places the tasks on the workers that ok admits: those with the fewest
 // recent failures first, then by best fit.
 func assign(w []Worker, u *Unit, ok func(*Worker) bool) ([]int, bool) {
-	type candidate struct {
-		worker int
-		fits   int
-	}
 	var candidates []candidate
 	total := 0
 	for i := range w {
@@ -425,13 +453,22 @@
 			cmp.Compare(x.ID, y.ID),
 		)
 	})
+	return take(u, candidates, func(candidate) bool { return true }), true
+}
+
+// take assigns the tasks of a unit to the first candidates that ok admits, as far as they
+// hold them.
+func take(u *Unit, l []candidate, ok func(candidate) bool) []int {
 	var at []int
-	for _, s := range candidates {
-		for range min(s.fits, len(u.Tasks)-len(at)) {
-			at = append(at, s.worker)
+	for _, c := range l {
+		if !ok(c) {
+			continue
+		}
+		for range min(c.fits, len(u.Tasks)-len(at)) {
+			at = append(at, c.worker)
 		}
 	}
-	return at, true
+	return at
 }
 
 // compareLeftover orders workers by what stays free on them: the least first, by best fit,
--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -116,7 +116,7 @@
 		p.indexGroups()
 	}
 	base := p.optionsFor(u)
-	if u.Step.OneRack && len(u.Tasks) > 1 {
+	if u.inRack() {
 		best, found := preemptionPlan{}, false
 		for _, r := range rackOrder(p.workers, u) {
 			v, ok := p.greedyPlan(u, base, func(v *Worker) bool { return v.Rack == r })
