alloc: place units by the speed of workers

Placement took all workers for equally fast, so that on an uneven service units missed their objective on slow workers while others held fast ones without need.

Worker.Speed, Unit.MinSpeed, Unit.Uneven and Unit.WaitForSpeed. A unit with MinSpeed gets an attempt on fast enough workers (free capacity, then preemption), waits for them while WaitForSpeed and slack last, then gets an attempt at any speed. The limit of an attempt is part of the requirements, so that the caches of what does not fit or found no plan keep attempts apart. One-rack gangs and tasks with a data rack do not leave a rack for faster workers.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -50,6 +50,8 @@
 	// Outlier means that the worker fails or is slow beside the others of its service. Units
 	// are placed there only as a last resort.
 	Outlier bool
+	// Speed is the speed relative to the service's normal one; 0 means 1.
+	Speed float64
 
 	// extra is the free capacity that no reservation will need, available to units
 	// that may still run when a reservation starts (the "extra nodes" of EASY
@@ -57,6 +59,8 @@
 	extra graph.Size
 	// placed means that this Decide has placed a unit on the worker.
 	placed bool
+	// speedClass is the slowest speed among those that count as equal to the worker's.
+	speedClass float64
 }
 
 // accepts reports whether the worker may be given a unit beside what starts there.
@@ -112,12 +116,26 @@
 	// Reserve asks for a reservation of future capacity if the unit cannot start
 	// now.
 	Reserve bool
+	// MinSpeed is the slowest speed of workers at which the unit meets its objective; 0
+	// means any. The unit takes slower workers only if no fast enough ones can be had.
+	MinSpeed float64
+	// WaitForSpeed lets the unit wait for fast enough workers while it has slack, instead
+	// of starting on slower ones. A unit within its guarantee must get it only while there
+	// is time left for preemption on slower workers.
+	WaitForSpeed bool
+	// Uneven is set for all units of a service whose workers differ much in speed. Those
+	// without MinSpeed take the slowest workers first.
+	Uneven bool
 
 	// extraOnly restricts the unit to extra capacity, because it may still run
 	// when a reservation starts.
 	extraOnly bool
 	// admitsOutliers lets the unit run on outliers.
 	admitsOutliers bool
+	// limit restricts the current attempt to place the unit by speed.
+	limit speedLimit
+	// neededSpeed is the speed above which workers are wasted on the unit.
+	neededSpeed float64
 }
 
 // Placement starts task i of a unit on the worker with index At[i].
@@ -144,6 +162,9 @@
 // reserves future capacity; units after them may use that capacity only if they
 // end before the reservation starts.
 //
+// A unit with MinSpeed starts on fast enough workers, stops groups there, or waits for
+// them; otherwise it is placed at any speed, the fastest first.
+//
 // Decide sorts u, updates the capacity of the workers for what it places, withholds
 // and stops, and marks the groups that it stops.
 func Decide(w []Worker, g []Group, u []Unit) Decision {
@@ -158,11 +179,26 @@
 	}
 	lightlyLoaded := lightlyLoadedServices(w)
 	o := newOutliers(w)
+	s := newSpeeds(w, u)
 	for i := range u {
 		v := &u[i]
 		starved := lightlyLoaded[v.Service] && v.IdleTime >= maxStarvedTime
+		s.prepare(v)
 		v.extraOnly = !starved && !c.backfill.endsBeforeReservations(v)
 		v.admitsOutliers = o.admitted(w, v, starved)
+		if l, ok := s.fastLimit(v); ok {
+			c.limit(v, l, starved)
+			if c.try(v) {
+				continue
+			}
+			if v.waitsForSpeed() {
+				c.reserve(v)
+				continue
+			}
+		}
+		if v.usesSpeed() {
+			c.limit(v, v.anySpeed(), starved)
+		}
 		if !c.try(v) {
 			c.reserve(v)
 		}
@@ -181,7 +217,8 @@
 	reserved    map[requirements]bool
 }
 
-// try starts a unit, or selects groups to stop for it, and reports whether it did.
+// try starts a unit, or selects groups to stop for it, within the limit of its current
+// attempt, and reports whether it did.
 func (c *pass) try(u *Unit) bool {
 	// Free capacity only shrinks: requirements that could not be met once
 	// cannot be met by a later unit either.
@@ -271,6 +308,7 @@
 	extraOnly    bool
 	apart        bool
 	outliers     bool
+	limit        speedLimit
 }
 
 func requirementsOf(u *Unit) requirements {
@@ -286,6 +324,7 @@
 		extraOnly:    u.extraOnly,
 		apart:        u.Apart,
 		outliers:     u.admitsOutliers,
+		limit:        u.limit,
 	}
 }
 
@@ -314,12 +353,10 @@
 // place chooses a worker for each task of a unit, on free capacity only.
 func place(w []Worker, u *Unit) ([]int, bool) {
 	if u.inRack() {
-		for _, r := range rackOrder(w, u) {
-			if at, ok := assign(w, u, func(v *Worker) bool { return v.Rack == r }); ok {
-				return at, true
-			}
+		if at, ok := placeInRack(w, u); ok {
+			return at, true
 		}
-		if !u.AnyRack && fitsOneEmptyRack(w, u) {
+		if u.limit.inOneRack || !u.AnyRack && fitsOneEmptyRack(w, u) {
 			return nil, false
 		}
 	}
@@ -393,7 +430,7 @@
 	if u.AllowedWorkers != nil && !u.AllowedWorkers[i] {
 		return false
 	}
-	if v.Unschedulable || v.Service != u.Service || v.Outlier && !u.admitsOutliers {
+	if v.Unschedulable || v.Service != u.Service || v.Outlier && !u.admitsOutliers || u.limit.excludes(v, u) {
 		return false
 	}
 	if u.Step.BestEffort && v.RunsLatencyTasks || u.Step.TailLatencyTarget > 0 && v.RunsBestEffort {
@@ -425,7 +462,7 @@
 }
 
 // assign places the tasks on the workers that ok admits: those with the fewest
-// recent failures first, then by best fit.
+// recent failures first, then by speed if it matters to the unit, then by best fit.
 func assign(w []Worker, u *Unit, ok func(*Worker) bool) ([]int, bool) {
 	var candidates []candidate
 	total := 0
@@ -449,10 +486,14 @@
 		x, y := &w[a.worker], &w[b.worker]
 		return cmp.Or(
 			cmp.Compare(x.FailureScore, y.FailureScore),
+			u.compareSpeed(x, y),
 			u.compareLeftover(leftoverShare(x, u, a.fits), leftoverShare(y, u, b.fits)),
 			cmp.Compare(x.ID, y.ID),
 		)
 	})
+	if u.limit.order != ignoreSpeed {
+		return takeBySpeed(w, u, candidates), true
+	}
 	return take(u, candidates, func(candidate) bool { return true }), true
 }
 
--- a/alloc/alloc_test.go
+++ b/alloc/alloc_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -161,6 +162,7 @@
 		w := workers(free...)
 		var g []alloc.Group
 		for i, f := range free {
+			w[i].Speed = rapid.SampledFrom([]float64{0, 0.6, 1.1, 1.6}).Draw(t, "speed")
 			if f < 8 {
 				g = append(g, group(i, 8-f, rapid.Float64Range(0, 100).Draw(t, "cost")))
 			}
@@ -170,6 +172,10 @@
 			v := unit(float64(i), rapid.IntRange(1, 4).Draw(t, "tasks"), rapid.IntRange(1, 8).Draw(t, "size"), nil)
 			v.Urgent = rapid.Bool().Draw(t, "urgent")
 			v.Step.OneRack = rapid.Bool().Draw(t, "one rack")
+			v.Uneven = rapid.Bool().Draw(t, "uneven")
+			v.MinSpeed = rapid.SampledFrom([]float64{0, 0.9, 2}).Draw(t, "minimum speed")
+			v.WaitForSpeed = rapid.Bool().Draw(t, "waits for speed")
+			v.Slack = time.Second
 			u = append(u, v)
 		}
 		used := make([]int, len(free))
--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -124,8 +124,8 @@
 				best, found = v, true
 			}
 		}
-		if found {
-			return best, true
+		if found || u.limit.inOneRack {
+			return best, found
 		}
 	}
 	return p.greedyPlan(u, base, func(*Worker) bool { return true })
@@ -174,6 +174,7 @@
 			l = append(l, p.optionOn(i, u))
 		}
 	}
+	u.sortOptions(p.workers, l)
 	return l
 }
 
