alloc: reservations take account of the speed of workers

A unit that runs on a slow worker takes longer than its expected run time, so it could delay a reservation. And a unit that waits for fast enough workers could reserve them for a time when it has already taken slower ones.

Run times are divided by the slowest speed that the attempt admits, and a waiting unit reserves only what it can use within its slack. Without speeds the comparison is as before. The tests of alloc and leader pass; without the division, and without the limit by slack, TestWaitLeavesCapacity fails.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -184,7 +184,7 @@
 		v := &u[i]
 		starved := lightlyLoaded[v.Service] && v.IdleTime >= maxStarvedTime
 		s.prepare(v)
-		v.extraOnly = !starved && !c.backfill.endsBeforeReservations(v)
+		v.extraOnly = !starved && !c.backfill.endsBeforeReservations(w, v)
 		v.admitsOutliers = o.admitted(w, v, starved)
 		if l, ok := s.fastLimit(v); ok {
 			c.limit(v, l, starved)
--- a/alloc/backfill.go
+++ b/alloc/backfill.go
@@ -57,10 +57,14 @@
 }
 
 // endsBeforeReservations reports whether the unit ends before any reservation
-// starts.
-func (b *backfill) endsBeforeReservations(u *Unit) bool {
+// starts, also on the slowest workers that its current attempt admits.
+func (b *backfill) endsBeforeReservations(w []Worker, u *Unit) bool {
+	if len(b.reservations) == 0 {
+		return true
+	}
+	d := float64(u.ExpectedRuntime) / u.slowestSpeed(w)
 	for _, s := range b.reservations {
-		if u.ExpectedRuntime > s.start {
+		if d > float64(s.start) {
 			return false
 		}
 	}
@@ -68,7 +72,8 @@
 }
 
 // reserve makes a reservation for a unit at the earliest time at which it fits if
-// the groups end as expected.
+// the groups end as expected. A unit that waits for fast enough workers does so only
+// within its slack: afterwards it takes others, and the capacity would stay idle.
 func (b *backfill) reserve(w []Worker, g []Group, u *Unit) {
 	if len(b.reservations) >= maxReservations {
 		return
@@ -95,6 +100,9 @@
 	if n > 0 {
 		s.start = g[b.byEnd[n-1]].ExpectedRemaining
 	}
+	if u.limit.min > 0 && s.start > u.Slack {
+		return
+	}
 	for _, i := range s.at {
 		f[i].Free = f[i].Free.Sub(s.size)
 	}
--- a/alloc/speed.go
+++ b/alloc/speed.go
@@ -122,7 +122,7 @@
 // still run when a reservation starts.
 func (c *pass) limit(u *Unit, l speedLimit, starved bool) {
 	u.limit = l
-	u.extraOnly = !starved && !c.backfill.endsBeforeReservations(u)
+	u.extraOnly = !starved && !c.backfill.endsBeforeReservations(c.preemptor.workers, u)
 }
 
 // fastLimit returns the limit of the attempt to place a unit on fast enough workers, and
@@ -196,6 +196,23 @@
 	return n
 }
 
+// slowestSpeed returns the slowest speed at which the unit may run in this attempt.
+func (u *Unit) slowestSpeed(w []Worker) float64 {
+	if !u.usesSpeed() {
+		return 1
+	}
+	f := math.Inf(1)
+	for i := range w {
+		if eligible(w, i, u) {
+			f = min(f, w[i].speed())
+		}
+	}
+	if math.IsInf(f, 1) {
+		return 1
+	}
+	return f
+}
+
 // compareSpeed orders workers by their speed class, the slowest first, if speeds matter in
 // the attempt.
 func (u *Unit) compareSpeed(a, b *Worker) int {
--- a/alloc/speed_test.go
+++ b/alloc/speed_test.go
@@ -140,6 +140,33 @@
 	}
 }
 
+// TestWaitLeavesCapacity guards against capacity that stays idle for a unit that waits for fast
+// enough workers: others start there, except where they would delay it within its slack.
+func TestWaitLeavesCapacity(t *testing.T) {
+	const s = time.Second
+	gang := func(slack time.Duration) alloc.Unit {
+		return unit(1, 2, 8, needs(0.9, waits, reserved, func(u *alloc.Unit) { u.Slack = slack }))
+	}
+	cases := []struct {
+		name  string
+		gang  alloc.Unit
+		other alloc.Unit
+		want  string
+	}{
+		{"other is short", gang(3 * s), unit(2, 1, 8, needs(0.9, runs(s))), "[1]"},
+		{"other is long", gang(3 * s), unit(2, 1, 8, needs(0.9, runs(9*s))), ""},
+		{"other is long on the slowest worker that it may take", gang(3 * s), unit(2, 1, 8, needs(0, runs(3*s/2))), ""},
+		{"gang will not wait for so long", gang(s), unit(2, 1, 8, needs(0.9, runs(9*s))), "[1]"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := atSpeeds(speeds{0.6, 1, 1}, 0, 8, 0)
+			d := alloc.Decide(w, []alloc.Group{endingIn(0, 8, 9*s), endingIn(2, 8, 2*s)}, []alloc.Unit{c.gang, c.other})
+			assertStarts(t, d, c.want)
+		})
+	}
+}
+
 // TestUnitsOfDifferentNeeds guards against a unit that is denied free workers because an earlier
 // one, alike but for its MinSpeed, found none that are fast enough; and against speeds that decide
 // for units of even services.
