--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -50,6 +50,8 @@
 	// Outlier means that the worker fails or is slow beside the others of its service. Units
 	// are placed there only as a last resort.
 	Outlier bool
+	// Speed is the speed relative to the service's normal one; 0 means 1.
+	Speed float64
 
 	// extra is the free capacity that no reservation will need, available to units
 	// that may still run when a reservation starts (the "extra nodes" of EASY
@@ -57,6 +59,8 @@
 	extra graph.Size
 	// placed means that this Decide has placed a unit on the worker.
 	placed bool
+	// speedClass is the slowest speed among those that count as equal to the worker's.
+	speedClass float64
 }
 
 // accepts reports whether the worker may be given a unit beside what starts there.
@@ -112,12 +116,26 @@
 	// Reserve asks for a reservation of future capacity if the unit cannot start
 	// now.
 	Reserve bool
+	// MinSpeed is the slowest speed of workers at which the unit meets its objective; 0
+	// means any. The unit takes slower workers only if no fast enough ones can be had.
+	MinSpeed float64
+	// WaitForSpeed lets the unit wait for fast enough workers while it has slack, instead
+	// of starting on slower ones. A unit within its guarantee must get it only while there
+	// is time left for preemption on slower workers.
+	WaitForSpeed bool
+	// Uneven is set for all units of a service whose workers differ much in speed. Those
+	// without MinSpeed take the slowest workers first.
+	Uneven bool
 
 	// extraOnly restricts the unit to extra capacity, because it may still run
 	// when a reservation starts.
 	extraOnly bool
 	// admitsOutliers lets the unit run on outliers.
 	admitsOutliers bool
+	// limit restricts the current attempt to place the unit by speed.
+	limit speedLimit
+	// neededSpeed is the speed above which workers are wasted on the unit.
+	neededSpeed float64
 }
 
 // Placement starts task i of a unit on the worker with index At[i].
@@ -144,6 +162,9 @@
 // reserves future capacity; units after them may use that capacity only if they
 // end before the reservation starts.
 //
+// A unit with MinSpeed starts on fast enough workers, stops groups there, or waits for
+// them; otherwise it is placed at any speed, the fastest first.
+//
 // Decide sorts u, updates the capacity of the workers for what it places, withholds
 // and stops, and marks the groups that it stops.
 func Decide(w []Worker, g []Group, u []Unit) Decision {
@@ -151,36 +172,75 @@
 	for i := range w {
 		w[i].extra = w[i].Free
 	}
-	var d Decision
-	var b backfill
-	p := newPreemptor(w, g)
+	c := pass{
+		preemptor:   newPreemptor(w, g),
+		unplaceable: map[requirements]bool{},
+		reserved:    map[requirements]bool{},
+	}
 	lightlyLoaded := lightlyLoadedServices(w)
 	o := newOutliers(w)
-	unplaceable := map[requirements]bool{}
-	reserved := map[requirements]bool{}
+	s := newSpeeds(w, u)
 	for i := range u {
 		v := &u[i]
 		starved := lightlyLoaded[v.Service] && v.IdleTime >= maxStarvedTime
-		v.extraOnly = !starved && !b.endsBeforeReservations(v)
+		s.prepare(v)
+		v.extraOnly = !starved && !c.backfill.endsBeforeReservations(w, v)
 		v.admitsOutliers = o.admitted(w, v, starved)
-		// Free capacity only shrinks: requirements that could not be met once
-		// cannot be met by a later unit either.
-		z := requirementsOf(v)
-		if !unplaceable[z] {
-			if d.start(p, v) {
+		if l, ok := s.fastLimit(v); ok {
+			c.limit(v, l, starved)
+			if c.try(v) {
+				continue
+			}
+			if v.waitsForSpeed() {
+				c.reserve(v)
 				continue
 			}
-			unplaceable[z] = !v.boundToWorkers()
 		}
-		if v.mayPreempt() && d.preempt(p, v) {
-			continue
+		if v.usesSpeed() {
+			c.limit(v, v.anySpeed(), starved)
+		}
+		if !c.try(v) {
+			c.reserve(v)
 		}
-		if v.Reserve && !reserved[z] {
-			reserved[z] = true
-			b.reserve(w, g, v)
+	}
+	return c.decision
+}
+
+// pass is the state of one Decide.
+type pass struct {
+	decision  Decision
+	backfill  backfill
+	preemptor *preemptor
+	// unplaceable holds requirements that do not fit on free capacity, and reserved those
+	// for which a reservation was tried.
+	unplaceable map[requirements]bool
+	reserved    map[requirements]bool
+}
+
+// try starts a unit, or selects groups to stop for it, within the limit of its current
+// attempt, and reports whether it did.
+func (c *pass) try(u *Unit) bool {
+	// Free capacity only shrinks: requirements that could not be met once
+	// cannot be met by a later unit either.
+	z := requirementsOf(u)
+	if !c.unplaceable[z] {
+		if c.decision.start(c.preemptor, u) {
+			return true
 		}
+		c.unplaceable[z] = !u.boundToWorkers()
+	}
+	return u.mayPreempt() && c.decision.preempt(c.preemptor, u)
+}
+
+// reserve reserves future capacity for a unit that asks for it.
+func (c *pass) reserve(u *Unit) {
+	if !u.Reserve {
+		return
+	}
+	if z := requirementsOf(u); !c.reserved[z] {
+		c.reserved[z] = true
+		c.backfill.reserve(c.preemptor.workers, c.preemptor.groups, u)
 	}
-	return d
 }
 
 // start places a unit on free capacity, and reports whether it fits.
@@ -248,6 +308,7 @@
 	extraOnly    bool
 	apart        bool
 	outliers     bool
+	limit        speedLimit
 }
 
 func requirementsOf(u *Unit) requirements {
@@ -263,6 +324,7 @@
 		extraOnly:    u.extraOnly,
 		apart:        u.Apart,
 		outliers:     u.admitsOutliers,
+		limit:        u.limit,
 	}
 }
 
@@ -285,15 +347,16 @@
 	}
 }
 
+// inRack reports whether the unit is a gang that asks for one rack.
+func (u *Unit) inRack() bool { return u.Step.OneRack && len(u.Tasks) > 1 }
+
 // place chooses a worker for each task of a unit, on free capacity only.
 func place(w []Worker, u *Unit) ([]int, bool) {
-	if u.Step.OneRack && len(u.Tasks) > 1 {
-		for _, r := range rackOrder(w, u) {
-			if at, ok := assign(w, u, func(v *Worker) bool { return v.Rack == r }); ok {
-				return at, true
-			}
+	if u.inRack() {
+		if at, ok := placeInRack(w, u); ok {
+			return at, true
 		}
-		if !u.AnyRack && fitsOneEmptyRack(w, u) {
+		if u.limit.inOneRack || !u.AnyRack && fitsOneEmptyRack(w, u) {
 			return nil, false
 		}
 	}
@@ -367,7 +430,7 @@
 	if u.AllowedWorkers != nil && !u.AllowedWorkers[i] {
 		return false
 	}
-	if v.Unschedulable || v.Service != u.Service || v.Outlier && !u.admitsOutliers {
+	if v.Unschedulable || v.Service != u.Service || v.Outlier && !u.admitsOutliers || u.limit.excludes(v, u) {
 		return false
 	}
 	if u.Step.BestEffort && v.RunsLatencyTasks || u.Step.TailLatencyTarget > 0 && v.RunsBestEffort {
@@ -392,13 +455,15 @@
 	return max(n, 0)
 }
 
+// candidate is a worker on which some tasks of a unit fit.
+type candidate struct {
+	worker int
+	fits   int
+}
+
 // assign places the tasks on the workers that ok admits: those with the fewest
-// recent failures first, then by best fit.
+// recent failures first, then by speed if it matters to the unit, then by best fit.
 func assign(w []Worker, u *Unit, ok func(*Worker) bool) ([]int, bool) {
-	type candidate struct {
-		worker int
-		fits   int
-	}
 	var candidates []candidate
 	total := 0
 	for i := range w {
@@ -421,17 +486,30 @@
 		x, y := &w[a.worker], &w[b.worker]
 		return cmp.Or(
 			cmp.Compare(x.FailureScore, y.FailureScore),
+			u.compareSpeed(x, y),
 			u.compareLeftover(leftoverShare(x, u, a.fits), leftoverShare(y, u, b.fits)),
 			cmp.Compare(x.ID, y.ID),
 		)
 	})
+	if u.limit.order != ignoreSpeed {
+		return takeBySpeed(w, u, candidates), true
+	}
+	return take(u, candidates, func(candidate) bool { return true }), true
+}
+
+// take assigns the tasks of a unit to the first candidates that ok admits, as far as they
+// hold them.
+func take(u *Unit, l []candidate, ok func(candidate) bool) []int {
 	var at []int
-	for _, s := range candidates {
-		for range min(s.fits, len(u.Tasks)-len(at)) {
-			at = append(at, s.worker)
+	for _, c := range l {
+		if !ok(c) {
+			continue
+		}
+		for range min(c.fits, len(u.Tasks)-len(at)) {
+			at = append(at, c.worker)
 		}
 	}
-	return at, true
+	return at
 }
 
 // compareLeftover orders workers by what stays free on them: the least first, by best fit,
--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -116,7 +116,7 @@
 		p.indexGroups()
 	}
 	base := p.optionsFor(u)
-	if u.Step.OneRack && len(u.Tasks) > 1 {
+	if u.inRack() {
 		best, found := preemptionPlan{}, false
 		for _, r := range rackOrder(p.workers, u) {
 			v, ok := p.greedyPlan(u, base, func(v *Worker) bool { return v.Rack == r })
@@ -124,8 +124,8 @@
 				best, found = v, true
 			}
 		}
-		if found {
-			return best, true
+		if found || u.limit.inOneRack {
+			return best, found
 		}
 	}
 	return p.greedyPlan(u, base, func(*Worker) bool { return true })
@@ -174,6 +174,7 @@
 			l = append(l, p.optionOn(i, u))
 		}
 	}
+	u.sortOptions(p.workers, l)
 	return l
 }
 
