Scheduler: place by the speeds of the workers

Cause: on deployments whose workers differ in speed, gangs of the urgent queue were late however soon they started: they progress at the pace of their slowest member, and a worker at 0.6 takes 1.67 times as long where the queue's slack is 1.5.

Change: the scheduler estimates speeds from ends and from the progress that agents list, dated by the agent's clock. Once a tenth of a service's workers is too slow for the slack of a queue, units get the least speed that they need, and workers count with a lower bound of theirs. The speeds of such services are stored under one key every 3 s, so that a new scheduler has them. A process that was restarted ends the lease of its predecessor at the same address, which held the scheduler's role until it expired.

--- a/alloc/order.go
+++ b/alloc/order.go
@@ -17,9 +17,9 @@
 	Overdue
 )
 
-// tardyFactor times the objective is the latest end at which a result still has
+// TardyFactor times the objective is the latest end at which a result still has
 // value.
-const tardyFactor = 3
+const TardyFactor = 3
 
 // TimelinessOf returns the timeliness of a job from how long it has waited, how
 // long it still has to run, and its objective for the sum of the two.
@@ -27,7 +27,7 @@
 	switch end := waited + left; {
 	case end <= objective:
 		return OnTime
-	case end <= tardyFactor*objective:
+	case end <= TardyFactor*objective:
 		return Tardy
 	}
 	return Overdue
--- a/leader/agent.go
+++ b/leader/agent.go
@@ -6,6 +6,7 @@
 
 	"hemlockhinge/graph"
 	"hemlockhinge/pause"
+	"hemlockhinge/speed"
 	"hemlockhinge/store"
 	"hemlockhinge/wire"
 )
@@ -59,6 +60,9 @@
 	clockOffset    time.Duration
 	hasClockOffset bool
 	failures       failureTracker
+	// speed is the lasting speed of the worker, and loggedSpeed the factor that was logged last.
+	speed       speed.Speed
+	loggedSpeed float64
 	// outlier means that the worker fails or is slow beside others.
 	outlier bool
 	// lostStartAt is when a start was last refused because the worker did not answer the
@@ -100,6 +104,8 @@
 		lastContact: time.Now(),
 		runs:        map[graph.Task]*run{},
 		unexpected:  map[graph.Task]unexpectedRun{},
+		loggedSpeed: 1,
+		speed:       unknownSpeed(),
 	}
 }
 
--- a/leader/dump.go
+++ b/leader/dump.go
@@ -35,21 +35,25 @@
 
 // AgentDump is what the scheduler knows of one agent and its worker.
 type AgentDump struct {
-	Address          string `json:"address"`
-	Worker           string `json:"worker"`
-	Domain           string `json:"failure_domain"`
-	Rack             string `json:"rack"`
-	InSession        bool   `json:"in_session"`
-	AccountedFor     bool   `json:"accounted_for"`
-	AcceptsTasks     bool   `json:"answers"`
-	Leaving          bool   `json:"leaving"`
-	LastContactMS    int64  `json:"heard_ms_ago"`
-	Runs             int    `json:"runs"`
-	UnexpectedRuns   int    `json:"unexpected_runs,omitempty"`
-	FailureScore     int    `json:"doubt,omitempty"`
-	Outlier          bool   `json:"outlier,omitempty"`
-	FreeAccelerators int    `json:"free_accelerators"`
-	Accelerators     int    `json:"accelerators"`
+	Address        string `json:"address"`
+	Worker         string `json:"worker"`
+	Domain         string `json:"failure_domain"`
+	Rack           string `json:"rack"`
+	InSession      bool   `json:"in_session"`
+	AccountedFor   bool   `json:"accounted_for"`
+	AcceptsTasks   bool   `json:"answers"`
+	Leaving        bool   `json:"leaving"`
+	LastContactMS  int64  `json:"heard_ms_ago"`
+	Runs           int    `json:"runs"`
+	UnexpectedRuns int    `json:"unexpected_runs,omitempty"`
+	FailureScore   int    `json:"doubt,omitempty"`
+	Outlier        bool   `json:"outlier,omitempty"`
+	// Speed is 1 for a normal worker; SpeedUncertainty is the standard deviation of its
+	// logarithm, 0 while the speed is unknown.
+	Speed            float64 `json:"speed"`
+	SpeedUncertainty float64 `json:"speed_uncertainty"`
+	FreeAccelerators int     `json:"free_accelerators"`
+	Accelerators     int     `json:"accelerators"`
 }
 
 // Dump returns the scheduler's state in this process.
@@ -148,6 +152,8 @@
 		UnexpectedRuns:   len(m.unexpected),
 		FailureScore:     m.failureScore(now),
 		Outlier:          m.outlier,
+		Speed:            m.speed.Factor,
+		SpeedUncertainty: m.speed.Uncertainty,
 		FreeAccelerators: f.Capacity.Sub(m.usedCapacity()).Accelerators,
 		Accelerators:     f.Capacity.Accelerators,
 	}
--- a/leader/election.go
+++ b/leader/election.go
@@ -46,6 +46,9 @@
 	mu       sync.Mutex
 	holder   holder
 	revision uint64
+	// predecessorReleased is set once the role of an earlier process at this address was looked
+	// for.
+	predecessorReleased bool
 	// renewedAt is when the last renewal was sent that the store has answered.
 	renewedAt clock.Time
 }
@@ -66,6 +69,7 @@
 
 // campaign returns when this process holds the role, or c ends.
 func (r *Role) campaign(c context.Context) (leadership, error) {
+	r.releasePredecessor(c)
 	for {
 		g, ok, err := r.tryAcquire(c)
 		switch {
@@ -80,6 +84,28 @@
 	}
 }
 
+// releasePredecessor frees the role if an earlier process at this address holds it: that one is
+// gone, since this process listens there, and its lease would block the role until it expires.
+func (r *Role) releasePredecessor(c context.Context) {
+	r.mu.Lock()
+	done := r.predecessorReleased
+	r.predecessorReleased = true
+	r.mu.Unlock()
+	if done {
+		return
+	}
+	i, err := r.store.Get(c, roleKey)
+	if err != nil || i.Lease == 0 {
+		return
+	}
+	r.observe(i)
+	if id, addr := r.Holder(); id != r.self.ID || addr != r.self.Addr {
+		return
+	}
+	err = r.store.Revoke(c, i.Lease)
+	r.log.WithError(err).WithField("epoch", i.Revision).Info("predecessor_released")
+}
+
 // tryAcquire acquires the role if it is free, and otherwise waits until the role key
 // changes.
 func (r *Role) tryAcquire(c context.Context) (leadership, bool, error) {
--- a/leader/job.go
+++ b/leader/job.go
@@ -127,6 +127,8 @@
 	progress      runProgress
 	// resumed means that the run began from a checkpoint.
 	resumed bool
+	// adopted means that an earlier term has started the run.
+	adopted bool
 	// stopping means that the run is to be stopped; the order is repeated until the
 	// run has ended.
 	stopping   bool
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -220,6 +220,7 @@
 	if err := t.flush(c); err != nil {
 		l.ports.Log.WithError(err).Warn("last_flush_failed")
 	}
+	t.storeSpeeds(c)
 	l.role.release(c, g)
 }
 
--- a/leader/order.go
+++ b/leader/order.go
@@ -23,9 +23,14 @@
 	repeatPreemptionCost = 0.5
 )
 
-// orderOf returns what ranks a step of an occurrence among others; timeOfDayMS is in
-// Unix milliseconds.
-func (t *term) orderOf(j *job, q *policy.Queue, occurrence, step int, now time.Time, timeOfDayMS int64) alloc.Order {
+// timing is how long a step of an occurrence has waited, how long it and what follows it take at
+// normal speed, and within what time the occurrence must end.
+type timing struct {
+	waited, remaining, objective time.Duration
+}
+
+// timingOf returns the timing of a step of an occurrence; timeOfDayMS is in Unix milliseconds.
+func (t *term) timingOf(j *job, q *policy.Queue, occurrence, step int, now time.Time, timeOfDayMS int64) timing {
 	waited := now.Sub(j.arrivedAt)
 	if j.HasDueTimes() {
 		waited = time.Duration(timeOfDayMS-j.DueUnixMS(occurrence)) * time.Millisecond
@@ -35,12 +40,19 @@
 	if m := t.meanRunTime[j.Queue]; j.criticalPath > 0 {
 		scale = max(scale, float64(m)*float64(len(j.Steps))/float64(j.criticalPath))
 	}
-	remaining := time.Duration(scale * float64(j.remainingPaths[step]))
-	objective := timeObjective(scale*float64(j.criticalPath), q)
+	return timing{
+		waited:    waited,
+		remaining: time.Duration(scale * float64(j.remainingPaths[step])),
+		objective: timeObjective(scale*float64(j.criticalPath), q),
+	}
+}
+
+// orderOf returns what ranks a step of an occurrence among others.
+func orderOf(j *job, q *policy.Queue, v timing) alloc.Order {
 	return alloc.Order{
 		WithinGuarantee: j.withinGuarantee,
 		Class:           q.Priority,
-		Timeliness:      alloc.TimelinessOf(waited, remaining, objective),
+		Timeliness:      alloc.TimelinessOf(v.waited, v.remaining, v.objective),
 		Age:             float64(j.revision),
 	}
 }
@@ -51,13 +63,11 @@
 	return time.Duration(q.SlackFactor*criticalPath) + q.Target
 }
 
-// slackMargin is the part of an urgent job's slack that is reserved for what follows
+// slackMargin is the part of a job's slack that is reserved for what follows
 // its start.
 const slackMargin = 250 * time.Millisecond
 
-// slack returns how long an urgent job can still wait for its start without being
-// late. It is at least as long as a stop takes: a run that ends within that time need
-// not be preempted.
+// slack returns how long a job can still wait for its start without being late, at normal speed.
 func (t *term) slack(j *job, q *policy.Queue, now time.Time) time.Duration {
 	path := j.criticalPath
 	if m := t.meanRunTime[j.Queue]; m > 0 {
@@ -67,7 +77,7 @@
 	if r := t.leader.settings.ReclaimTimeout - t.leader.settings.MaxStopTime; j.withinGuarantee && r > 0 {
 		d = min(d, r)
 	}
-	return max(d-now.Sub(j.arrivedAt)-slackMargin, t.leader.settings.MaxStopTime)
+	return d - now.Sub(j.arrivedAt) - slackMargin
 }
 
 // Thresholds for slow workers. A run is slow if it takes slowFactor times as long as its queue's
@@ -93,7 +103,7 @@
 		if mean == 0 || !ok {
 			continue
 		}
-		f := float64(d) / float64(max(mean, j.Steps[k.Step].Estimate))
+		f := float64(d) * t.runSpeed(j, r) / float64(max(mean, j.Steps[k.Step].Estimate))
 		if f < slowFactor {
 			return false
 		}
@@ -252,7 +262,8 @@
 	d, timed := r.progress.remaining(r.startedAt, now)
 	v.Remaining = max(v.Remaining, d)
 	if !timed {
-		d = max(g.term.expectedRunTime(j, s)-now.Sub(r.startedAt), minExpectedRemaining)
+		expected := float64(g.term.expectedRunTime(j, s)) / g.term.runSpeed(j, r)
+		d = max(time.Duration(min(expected, math.MaxInt64/2))-now.Sub(r.startedAt), minExpectedRemaining)
 	}
 	v.ExpectedRemaining = max(v.ExpectedRemaining, d)
 	v.RemainingKnown = v.RemainingKnown && timed && !r.resumed
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -53,6 +53,7 @@
 		t.removeIfGone(m, now)
 	}
 	t.stopUnwantedRuns(now)
+	t.updateSpeeds(now)
 	t.markGuaranteedJobs()
 	w, agents := t.allocWorkers(now)
 	g, runs := t.runningGroups(w, agents, now)
@@ -127,6 +128,7 @@
 			LeavesIn:         max(m.leavesAt.Sub(now), 0),
 			FailureScore:     d,
 			Outlier:          d >= outlierScore,
+			Speed:            t.placementSpeed(m),
 		})
 	}
 	return w, agents
--- a/leader/progress.go
+++ b/leader/progress.go
@@ -22,6 +22,44 @@
 	hasRate       bool
 	windowPercent int
 	windowStart   time.Time
+	// The pace is the progress since firstPercent, by the clock of the agent, which dates
+	// its listings.
+	firstPercent  int
+	firstListedMS int64
+	lastPercent   int
+	lastListedMS  int64
+	// measured means that the run time of the gang was measured at an end.
+	measured bool
+}
+
+// Least progress and time from which a pace tells the run time: progress comes in whole
+// percents, at the moments at which the agent lists its worker's runs.
+const (
+	minPacePercent = 6
+	minPaceMS      = 300
+)
+
+// observePace records the progress in a listing that the agent dated.
+func (p *runProgress) observePace(percent int, listedMS int64) {
+	if listedMS <= p.lastListedMS || percent >= fullPercent {
+		return
+	}
+	if p.firstListedMS == 0 || percent < p.lastPercent {
+		if percent > 0 {
+			p.firstPercent, p.firstListedMS = percent, listedMS
+		}
+	}
+	p.lastPercent, p.lastListedMS = percent, listedMS
+}
+
+// paceTotal extrapolates the whole run time from the pace. It returns false while too little
+// progress was listed.
+func (p *runProgress) paceTotal() (time.Duration, bool) {
+	d := p.lastListedMS - p.firstListedMS
+	if p.firstListedMS == 0 || d < minPaceMS || p.lastPercent-p.firstPercent < minPacePercent {
+		return 0, false
+	}
+	return time.Duration(d) * time.Millisecond * fullPercent / time.Duration(p.lastPercent-p.firstPercent), true
 }
 
 // observe records the progress at a moment.
--- a/leader/report.go
+++ b/leader/report.go
@@ -37,7 +37,7 @@
 	for _, v := range s.Runs {
 		if k, err := graph.ParseTask(v.Task); err == nil {
 			listed[k] = true
-			t.applyReportedRun(m, k, v)
+			t.applyReportedRun(m, k, v, s.ListedMS)
 		}
 	}
 	m.acceptsTasks = s.Settled && !s.Vacant
@@ -125,6 +125,7 @@
 		return
 	}
 	if w.Born != m.worker.Born {
+		t.updateMachine(m, w)
 		m.lastEnd = 0
 		m.lastRecordedEnd = 0
 		m.lastAcknowledgedEnd = 0
@@ -135,8 +136,9 @@
 	m.leavesAt = time.Now().Add(time.Duration(w.LeavesMS) * time.Millisecond)
 }
 
-// applyReportedRun applies one run of an agent's report.
-func (t *term) applyReportedRun(m *agentState, k graph.Task, v wire.RunState) {
+// applyReportedRun applies one run of an agent's report; listedMS is when the worker listed it, by
+// the agent's clock.
+func (t *term) applyReportedRun(m *agentState, k graph.Task, v wire.RunState, listedMS int64) {
 	j := t.jobs[k.Job]
 	if j == nil {
 		t.recordUnexpectedRun(m, k, v, graph.Size{})
@@ -164,6 +166,8 @@
 		r.progress.percent = v.Percent
 	} else {
 		r.progress.observe(v.Percent, time.Now())
+		r.progress.observePace(v.Percent, listedMS)
+		t.observeProgress(j, r)
 	}
 	if r.startUnconfirmed && !v.Uncertain {
 		r.startUnconfirmed = false
@@ -186,6 +190,7 @@
 		size:      j.Steps[k.Step].Size,
 		phase:     running,
 		startedAt: time.Now(),
+		adopted:   true,
 	}
 	j.runs[k] = r
 	m.runs[k] = r
@@ -248,12 +253,12 @@
 	case r.agent.addr != m.addr || r.attempt != e.Attempt:
 		r.superseded = r.superseded || e.Outcome == graph.OutcomeDone
 	default:
+		if e.Outcome == graph.OutcomeDone {
+			t.observeEnd(j, r)
+		}
 		delete(j.runs, e.Task)
 		delete(r.agent.runs, e.Task)
 		m.failures.recordEnd(e, time.Now())
-		if e.Outcome == graph.OutcomeDone && r.checkpoint == "" {
-			t.observeRunTime(j, time.Since(r.startedAt))
-		}
 	}
 	attempts := j.MaxAttempts
 	if q := t.queue(j); q != nil {
@@ -272,6 +277,15 @@
 	t.log.WithFields(f).Info("run_ended")
 }
 
+// observeEnd learns from the run time of a run that is done.
+func (t *term) observeEnd(j *job, r *run) {
+	d := time.Since(r.startedAt)
+	if r.checkpoint == "" {
+		t.observeRunTime(j, time.Duration(float64(d)*t.runSpeed(j, r)))
+	}
+	t.observeSpeed(j, r, d, false)
+}
+
 // removeLostRun removes a run that is over although no end of it was reported.
 func (t *term) removeLostRun(m *agentState, r *run) {
 	delete(m.runs, r.task)
--- a/leader/term.go
+++ b/leader/term.go
@@ -62,10 +62,15 @@
 	sessionCount  uint64
 	// meanRunTime is the moving average of the run times of each queue.
 	meanRunTime map[string]time.Duration
-	approvals   advice.Cache
-	ctx         context.Context //nolint:containedctx // ends with the term
-	goroutines  sync.WaitGroup
-	lateTimers  lagProbe
+	// speeds are the speeds of the workers of each service.
+	speeds          map[string]*serviceSpeeds
+	speedsUpdatedAt time.Time
+	// storedSpeeds are the speeds that earlier terms have stored, by the addresses of agents.
+	storedSpeeds map[string]storedSpeed
+	approvals    advice.Cache
+	ctx          context.Context //nolint:containedctx // ends with the term
+	goroutines   sync.WaitGroup
+	lateTimers   lagProbe
 	// abandoned is set when the term ends because its process is late.
 	abandoned atomic.Bool
 	// inputs follows the jobs, the cancellations and the agents in the store.
@@ -84,6 +89,7 @@
 		jobs:          map[string]*job{},
 		cancellations: map[string]bool{},
 		meanRunTime:   map[string]time.Duration{},
+		speeds:        map[string]*serviceSpeeds{},
 		agents:        map[string]*agentState{},
 	}
 	t.inputs = mirror.Mirror{
@@ -106,6 +112,7 @@
 	t.goroutines.Go(func() { t.inputs.Run(c) })
 	t.goroutines.Go(func() { t.confirmInputs(c) })
 	t.goroutines.Go(func() { t.flushLoop(c) })
+	t.goroutines.Go(func() { t.storeSpeedsLoop(c) })
 	t.goroutines.Go(func() { t.expireLoop(c) })
 	t.goroutines.Go(func() { t.lateTimers.run(c) })
 	t.passLoop(c)
--- a/leader/units.go
+++ b/leader/units.go
@@ -86,7 +86,10 @@
 	case s.Gang && (active > 0 || len(tasks) < s.Count):
 		return
 	}
-	o := l.term.orderOf(j, q, occurrence, step, l.now, l.timeOfDayMS)
+	v := l.term.timingOf(j, q, occurrence, step, l.now, l.timeOfDayMS)
+	o := orderOf(j, q, v)
+	slack := l.term.slack(j, q, l.now)
+	stopTime := l.term.leader.settings.MaxStopTime
 	u := alloc.Unit{
 		Job:             j.ID,
 		Service:         q.Service,
@@ -95,7 +98,8 @@
 		Rank:            o.Rank(),
 		Urgent:          o.MayPreempt(),
 		WithinGuarantee: j.withinGuarantee,
-		Slack:           l.term.slack(j, q, l.now),
+		// A run that ends within the time that a stop takes need not be preempted.
+		Slack:           max(slack, stopTime),
 		ExpectedRuntime: l.term.expectedRunTime(j, s),
 		IdleTime:        j.idleTime(l.now),
 		Work:            l.term.expectedRunTime(j, s).Seconds() * coreEquivalents(s.Size) * float64(len(tasks)),
@@ -105,6 +109,11 @@
 	if q.RequiresAdvice && l.term.leader.ports.Adviser != nil {
 		u.AllowedWorkers = l.term.approvedWorkers(tasks[0], l.agents, l.now)
 	}
+	if l.term.uneven(q.Service) {
+		u.Uneven = true
+		u.MinSpeed = v.minSpeed()
+		u.WaitForSpeed = slack > stopTime
+	}
 	if s.MaxPerWorker > 0 {
 		u.RunningPerWorker = j.runsPerWorker(occurrence, step, l.agents)
 	}
@@ -114,12 +123,12 @@
 	}
 	wave := waveSize(l.capacity[q.Service], s.Size)
 	for i := range tasks {
-		v := u
-		v.Tasks = tasks[i : i+1]
-		v.Work = u.Work / float64(len(tasks))
-		v.NoPreemption = !j.withinGuarantee && active+i >= wave
-		v.Reserve = u.Reserve && !v.NoPreemption
-		l.add(j, v)
+		w := u
+		w.Tasks = tasks[i : i+1]
+		w.Work = u.Work / float64(len(tasks))
+		w.NoPreemption = !j.withinGuarantee && active+i >= wave
+		w.Reserve = u.Reserve && !w.NoPreemption
+		l.add(j, w)
 	}
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -37,6 +37,7 @@
 	configAgeSeconds  prometheus.Histogram
 	workerCrashes     prometheus.Counter
 	heartbeatsRefused prometheus.Counter
+	workerSpeed       *prometheus.GaugeVec
 }
 
 // New registers a daemon's metrics.
@@ -76,13 +77,18 @@
 			Name:      "heartbeats_refused_total",
 			Help:      "Heartbeats of other writers.",
 		}),
+		workerSpeed: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace,
+			Name:      "worker_speed",
+			Help:      "Estimated speed of a worker, 1 for a normal one, and the uncertainty of its logarithm.",
+		}, []string{"agent", "value"}),
 		linesDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "log_lines_dropped_total",
 			Help:      "Log lines beyond the budget.",
 		}),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.workerSpeed)
 	return m
 }
 
@@ -203,3 +209,11 @@
 	}
 	return "ok"
 }
+
+// WorkerSpeed records the estimated speed of the worker of an agent.
+func (m *Meter) WorkerSpeed(agent string, factor, uncertainty float64) {
+	if m != nil {
+		m.workerSpeed.WithLabelValues(agent, "factor").Set(factor)
+		m.workerSpeed.WithLabelValues(agent, "uncertainty").Set(uncertainty)
+	}
+}
--- a/runner/report.go
+++ b/runner/report.go
@@ -50,6 +50,8 @@
 		WallMS:  r.ports.WallClock().UnixMilli(),
 		Vacant:  r.leasesExpired,
 		AgentMS: r.clockMS(),
+
+		ListedMS: r.listedAt.Sub(r.clockStart).Milliseconds(),
 	}
 	for _, v := range r.ledger.Runs() {
 		s.Runs = append(s.Runs, wire.RunState{
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -114,8 +114,10 @@
 	// crashed are the runs that may have crashed the worker recently.
 	crashed []crashedRun
 	// session and peer are the scheduler's active session and its connection.
-	session    wire.StartSession
-	peer       *wire.Peer
+	session wire.StartSession
+	peer    *wire.Peer
+	// listedAt is when the worker last listed its runs.
+	listedAt   clock.Time
 	statusSeq  uint64
 	wakePoll   chan struct{}
 	wakeReport chan struct{}
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -66,7 +66,7 @@
 // higher Seq is newer. Settled is false while earlier orders of the agent may still take
 // effect, or its worker keeps ends that are not in the report. Vacant means that the worker does not answer and nothing can be running there,
 // since all leases have expired. WallMS is the agent's wall clock and AgentMS its monotonic
-// clock.
+// clock. ListedMS is the reading of that clock when the worker last listed its runs.
 type AgentStatus struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Seq      uint64
@@ -78,6 +78,7 @@
 	WallMS   int64
 	Vacant   bool
 	AgentMS  int64
+	ListedMS int64
 }
 
 // Ping renews the scheduler's contact with an agent. LastAgentMS is the newest AgentMS that
