Scheduler: keep the room that was made for urgent units; rank by cost of delay

Cause: each pass planned preemptions anew.

Change: where one customer's guarantee is over 2.5 times the mean, or a service is uneven, a unit keeps to the workers on which room was made for it, and waits for runs to end by themselves for half of its slack at most.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -92,6 +92,14 @@
 	WithinGuarantee bool
 	// Slack is how long the unit can wait without being late.
 	Slack time.Duration
+	// EndWait is how long the unit waits for groups that end on their own, rather than stop them;
+	// zero means Slack. A shorter time leaves some of the slack for stopping them after all,
+	// should they take longer than expected.
+	EndWait time.Duration
+	// Room holds the indexes of the workers on which an earlier decision made room for the
+	// unit, nil if there are none. The unit keeps to them, so that no further groups are stopped
+	// elsewhere.
+	Room map[int]bool
 	// NoPreemption forbids preemption for an urgent unit: it starts only on free
 	// capacity.
 	NoPreemption bool
@@ -150,10 +158,12 @@
 	For   *Unit
 }
 
-// Decision lists the units to start and the groups to stop for more urgent units.
+// Decision lists the units to start and the groups to stop for more urgent units. Room has the
+// units for which capacity is withheld until groups have ended, and the workers of their tasks.
 type Decision struct {
 	Start []Placement
 	Stop  []Preemption
+	Room  []Placement
 }
 
 // Decide places the units in the order of their rank. For an urgent unit that does
@@ -264,17 +274,20 @@
 // capacity that the unit will use. It returns false if no selection makes the unit
 // fit, or if the lost work is out of proportion.
 func (d *Decision) preempt(p *preemptor, u *Unit) bool {
-	if p.knownToFail(u) {
+	v, ok := p.planInRoom(u)
+	if !ok && p.knownToFail(u) {
 		return false
 	}
-	v, ok := p.plan(u)
+	if !ok {
+		v, ok = p.plan(u)
+	}
 	if !ok || !u.acceptsCost(v.cost) {
 		p.recordFailure(u)
 		return false
 	}
 	for _, k := range v.stop {
 		g := &p.groups[k]
-		if g.endsWithin(u.Slack) {
+		if g.endsWithin(u.endWait()) {
 			continue
 		}
 		d.Stop = append(d.Stop, Preemption{
@@ -292,6 +305,10 @@
 	}
 	allocate(p.workers, u, v.at)
 	p.workersChanged(v.at)
+	d.Room = append(d.Room, Placement{
+		Unit: u,
+		At:   v.at,
+	})
 	return true
 }
 
--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -30,7 +30,7 @@
 	size  graph.Size
 }
 
-// cachedOptions are the options for units of one kind and slack. Each is valid while its
+// cachedOptions are the options for units of one kind that wait equally long for ends. Each is valid while its
 // worker has not changed.
 type cachedOptions struct {
 	kind    preemptionKind
@@ -45,7 +45,7 @@
 	withinGuarantee bool
 }
 
-// failedPreemption is the slack and the work of a unit for which no acceptable plan was
+// failedPreemption is the time to wait for ends and the work of a unit for which no acceptable plan was
 // found. A unit of the same kind with no more of either has none either.
 type failedPreemption struct {
 	slack time.Duration
@@ -90,14 +90,14 @@
 		return false
 	}
 	return slices.ContainsFunc(p.failed[kindOf(u)], func(f failedPreemption) bool {
-		return u.Slack <= f.slack && u.Work <= f.work
+		return u.endWait() <= f.slack && u.Work <= f.work
 	})
 }
 
 func (p *preemptor) recordFailure(u *Unit) {
 	k := kindOf(u)
 	p.failed[k] = append(p.failed[k], failedPreemption{
-		slack: u.Slack,
+		slack: u.endWait(),
 		work:  u.Work,
 	})
 }
@@ -151,10 +151,10 @@
 	if u.boundToWorkers() {
 		return p.allOptions(u)
 	}
-	if k := kindOf(u); p.last.options == nil || k != p.last.kind || u.Slack != p.last.slack {
+	if k := kindOf(u); p.last.options == nil || k != p.last.kind || u.endWait() != p.last.slack {
 		p.last = cachedOptions{
 			kind:    k,
-			slack:   u.Slack,
+			slack:   u.endWait(),
 			options: p.allOptions(u),
 		}
 		return p.last.options
@@ -240,7 +240,7 @@
 	most := o.free
 	for _, w := range p.sharesOn[o.worker] {
 		g := &p.groups[w.group]
-		if stopped[w.group] || g.Stopping || !g.preemptibleBy(u) && !g.endsWithin(u.Slack) {
+		if stopped[w.group] || g.Stopping || !g.preemptibleBy(u) && !g.endsWithin(u.endWait()) {
 			continue
 		}
 		v := victim{
--- a/alloc/preempt.go
+++ b/alloc/preempt.go
@@ -17,6 +17,9 @@
 	Borrowed bool
 	// NonPreemptible groups are never preempted.
 	NonPreemptible bool
+	// BudgetUsed is set if the job of the group was preempted as often as units without a
+	// guarantee may do.
+	BudgetUsed bool
 	// Service, Step and Tasks tell what it takes to start the group elsewhere.
 	Service string
 	Step    *graph.Step
@@ -42,7 +45,7 @@
 // preemptibleBy reports whether the group may be stopped for a unit.
 func (g *Group) preemptibleBy(u *Unit) bool {
 	switch {
-	case !u.Urgent || g.NonPreemptible:
+	case !u.Urgent || g.NonPreemptible || g.BudgetUsed && !u.WithinGuarantee:
 		return false
 	case !g.Urgent:
 		return true
@@ -77,7 +80,7 @@
 // own in time.
 func (g *Group) preemptionCost(u *Unit) float64 {
 	switch {
-	case g.endsWithin(u.Slack):
+	case g.endsWithin(u.endWait()):
 		return 0
 	case g.Urgent:
 		return g.Cost + urgentCost
--- a/leader/job.go
+++ b/leader/job.go
@@ -36,6 +36,8 @@
 	// withinGuarantee means that the job is covered by its customer's guarantee.
 	withinGuarantee bool
 	preemptions     int
+	// overtaken is how many younger jobs of the queue have started while this one waited.
+	overtaken int
 	// lastActive is when the job last had a run.
 	lastActive time.Time
 	// endedAt is when this term found that nothing of the job is left to do: it has
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -68,6 +68,8 @@
 	// MaxSettingsAge is how long after the operators' settings were last confirmed tasks
 	// are started; zero means that there is no limit.
 	MaxSettingsAge time.Duration
+	// Order is OrderByAge or OrderByCost; empty is OrderByAge.
+	Order string
 	// CampaignDelay is how long after Run is called the first campaign begins.
 	CampaignDelay time.Duration
 }
--- a/leader/order.go
+++ b/leader/order.go
@@ -8,6 +8,7 @@
 
 	"hemlockhinge/alloc"
 	"hemlockhinge/graph"
+	"hemlockhinge/order"
 	"hemlockhinge/policy"
 )
 
@@ -249,6 +250,7 @@
 			Borrowed:       !j.withinGuarantee,
 			RemainingKnown: true,
 			NonPreemptible: s.LongRunning,
+			BudgetUsed:     g.term.keepsRoom && j.preemptions >= order.MaxPreemptions,
 			Service:        j.Service,
 			Step:           s,
 		})
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -67,6 +67,7 @@
 		for _, p := range d.Start {
 			t.startUnit(p, agents, now)
 		}
+		t.keepRoom(d.Room, agents)
 	}
 	for _, i := range alloc.Vacate(w, g, t.leader.settings.MaxStopTime+vacateMargin) {
 		for _, r := range runs[i] {
--- a/leader/term.go
+++ b/leader/term.go
@@ -67,10 +67,14 @@
 	speedsUpdatedAt time.Time
 	// storedSpeeds are the speeds that earlier terms have stored, by the addresses of agents.
 	storedSpeeds map[string]storedSpeed
-	approvals    advice.Cache
-	ctx          context.Context //nolint:containedctx // ends with the term
-	goroutines   sync.WaitGroup
-	lateTimers   lagProbe
+	// keepsRoom is what contended returned last.
+	keepsRoom bool
+	// room is where the last decision made room for units, by their first tasks.
+	room       map[graph.Task]roomPlan
+	approvals  advice.Cache
+	ctx        context.Context //nolint:containedctx // ends with the term
+	goroutines sync.WaitGroup
+	lateTimers lagProbe
 	// abandoned is set when the term ends because its process is late.
 	abandoned atomic.Bool
 	// inputs follows the jobs, the cancellations and the agents in the store.
@@ -90,6 +94,7 @@
 		cancellations: map[string]bool{},
 		meanRunTime:   map[string]time.Duration{},
 		speeds:        map[string]*serviceSpeeds{},
+		room:          map[graph.Task]roomPlan{},
 		agents:        map[string]*agentState{},
 	}
 	t.inputs = mirror.Mirror{
--- a/leader/units.go
+++ b/leader/units.go
@@ -7,6 +7,7 @@
 
 	"hemlockhinge/alloc"
 	"hemlockhinge/graph"
+	"hemlockhinge/order"
 	"hemlockhinge/policy"
 )
 
@@ -32,7 +33,11 @@
 	capacity map[string]graph.Size
 	// earlyLosses is as countEarlyLosses returns it.
 	earlyLosses map[graph.Task]int
-	units       []alloc.Unit
+	// contended is as the term returns it.
+	contended bool
+	units     []alloc.Unit
+	// items are the units as package order takes them, if they are ranked by cost.
+	items []order.Item
 }
 
 // startableUnits returns the units that may start now. While an agent is unaccounted
@@ -45,6 +50,7 @@
 		timeOfDayMS: t.medianTimeOfDay(now),
 		agents:      agents,
 		capacity:    capacity,
+		contended:   t.contended(),
 	}
 	unaccounted := t.hasUnaccountedAgents()
 	l.earlyLosses = t.countEarlyLosses(now)
@@ -53,6 +59,9 @@
 			l.addJob(j)
 		}
 	}
+	if t.ranksByCost() {
+		l.rankByCost()
+	}
 	return l.units
 }
 
@@ -109,6 +118,9 @@
 	if q.RequiresAdvice && l.term.leader.ports.Adviser != nil {
 		u.AllowedWorkers = l.term.approvedWorkers(tasks[0], l.agents, l.now)
 	}
+	if l.contended {
+		u.EndWait = max(slack/2, stopTime)
+	}
 	if l.term.uneven(q.Service) {
 		u.Uneven = true
 		u.MinSpeed = v.minSpeed()
@@ -118,7 +130,7 @@
 		u.RunningPerWorker = j.runsPerWorker(occurrence, step, l.agents)
 	}
 	if s.Gang {
-		l.add(j, u)
+		l.add(j, q, u, v)
 		return
 	}
 	wave := waveSize(l.capacity[q.Service], s.Size)
@@ -128,16 +140,22 @@
 		w.Work = u.Work / float64(len(tasks))
 		w.NoPreemption = !j.withinGuarantee && active+i >= wave
 		w.Reserve = u.Reserve && !w.NoPreemption
-		l.add(j, w)
+		l.add(j, q, w, v)
 	}
 }
 
 // add adds a unit. One with a suspect stops no others: its workers may crash.
-func (l *unitLister) add(j *job, u alloc.Unit) {
+func (l *unitLister) add(j *job, q *policy.Queue, u alloc.Unit, v timing) {
 	if j.hasSuspect(u.Tasks, l.earlyLosses) {
 		u.Apart = true
 		u.NoPreemption = true
 	}
+	if l.contended {
+		u.Room = l.roomFor(u.Tasks[0])
+	}
+	if l.term.ranksByCost() {
+		l.items = append(l.items, itemOf(j, q, &u, v))
+	}
 	l.units = append(l.units, u)
 }
 
--- a/order/item.go
+++ b/order/item.go
@@ -8,7 +8,10 @@
 //	for n, r := range p.Rank(items) { units[n].Rank = r }
 package order
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Item is a unit that waits, or the running part of a job.
 type Item struct {
@@ -42,25 +45,22 @@
 const (
 	// lateFactor times the objective is the latest end at which a result has value.
 	lateFactor = 3
-	// lateShare is the share of its value that a late result still has.
-	lateShare = 0.25
-	// fixedShare is the part of a job's value that does not depend on its work. Small jobs
-	// are thereby worth more per core-second, the smallest about 10 times as much.
-	fixedShare = 0.3
-	// maxRelativeWork bounds the work, relative to the mean of the queue, that adds value.
-	maxRelativeWork = 4
+	// lateShare is the share of its value that a late result still has. How much a late result
+	// is worth differs between callers; a half takes no side.
+	lateShare = 0.5
+	// fixedShare is the part of a job's value that does not depend on its work: a caller waits
+	// for the result of a small job as for that of a large one. The rest is in proportion to
+	// the work, so that large jobs do not always come last.
+	fixedShare = 0.5
 	// minLeftShare bounds from below the share of its work that a job is taken to need
 	// still, since estimates are wrong.
 	minLeftShare = 0.1
 )
 
-// classWeights are the values of results by class, relative to each other. The last one
-// also holds for lower classes.
-var classWeights = [...]float64{4, 3, 1}
+// classFactor is how many times as much a result counts as one of the next class.
+const classFactor = 2.0
 
-func (i *Item) weight() float64 {
-	return classWeights[min(max(i.Class, 0), len(classWeights)-1)]
-}
+func (i *Item) weight() float64 { return math.Pow(classFactor, -float64(max(i.Class, 0))) }
 
 // slack returns how long the unit can wait without being late.
 func (i *Item) slack() time.Duration { return i.Objective - i.Waited - i.Remaining }
@@ -73,7 +73,7 @@
 // value returns what the result is worth on time, in weighted core-seconds, for the mean
 // work of the queue's jobs.
 func (i *Item) value(mean float64) float64 {
-	return i.weight() * (fixedShare*mean + (1-fixedShare)*min(i.Work, maxRelativeWork*mean))
+	return i.weight() * (fixedShare*mean + (1-fixedShare)*i.Work)
 }
 
 // density returns the value per core-second that the job still needs.
@@ -87,8 +87,8 @@
 // unevenFactor times the mean is the guarantee above which guarantees are very uneven.
 const unevenFactor = 2.5
 
-// Uneven reports whether the guarantees of a configuration's customers are so uneven that
-// its units are ranked by cost of delay unless a setting says otherwise.
+// Uneven reports whether the guarantees of a configuration's customers are very uneven, so that
+// bursts of the largest one crowd out the others.
 func Uneven(guarantees []int) bool {
 	largest, sum := 0, 0
 	for _, g := range guarantees {
--- a/order/policy.go
+++ b/order/policy.go
@@ -13,8 +13,8 @@
 	// firstOrdinal is the rank of the first unit that is not guaranteed. It is far above
 	// any age, which is the rank of guaranteed units.
 	firstOrdinal = 1e12
-	// maxOvertaken is how many younger jobs of its queue may overtake a unit.
-	maxOvertaken = 50
+	// MaxOvertaken is how many younger jobs of its queue may overtake a unit.
+	MaxOvertaken = 50
 	// urgencyFactor times its objective is the slack with which a unit counts half as much
 	// as one without slack.
 	urgencyFactor = 4.0
@@ -26,7 +26,7 @@
 
 // Bands of a class, the first one first. Units are compared by score within a band only.
 const (
-	// aged units have been overtaken maxOvertaken times.
+	// aged units have been overtaken MaxOvertaken times.
 	aged = iota
 	onTime
 	// yielding are the last on-time units of a class if they are patient, beside the
@@ -95,7 +95,7 @@
 	switch {
 	case i.lateSlack() < 0:
 		return overdueBands + i.Class
-	case i.Overtaken >= maxOvertaken:
+	case i.Overtaken >= MaxOvertaken:
 		return c + aged
 	case i.slack() < 0:
 		return c + late
@@ -105,7 +105,7 @@
 
 // score returns the value per core-second that is about to be lost. It is 0 where age decides.
 func (i *Item) score(mean float64) float64 {
-	if i.Overtaken >= maxOvertaken || i.lateSlack() < 0 {
+	if i.Overtaken >= MaxOvertaken || i.lateSlack() < 0 {
 		return 0
 	}
 	s := i.slack()
--- a/order/preempt.go
+++ b/order/preempt.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// maxPreemptions is the preemption budget of a job: how often it may be stopped for units
+// MaxPreemptions is the preemption budget of a job: how often it may be stopped for units
 // that are not guaranteed. It bounds how often jobs stop each other in turn.
-const maxPreemptions = 2
+const MaxPreemptions = 2
 
 // Stop is a running group that would be stopped for a unit.
 type Stop struct {
@@ -37,7 +37,7 @@
 func (p *Policy) MayPreempt(i Item, d time.Duration, stops []Stop) bool {
 	for n := range stops {
 		s := &stops[n]
-		if s.Item.Guaranteed || !i.Guaranteed && s.Preemptions >= maxPreemptions {
+		if s.Item.Guaranteed || !i.Guaranteed && s.Preemptions >= MaxPreemptions {
 			return false
 		}
 	}
