--- a/cmd/hemlockhinge/objects.go
+++ b/cmd/hemlockhinge/objects.go
@@ -2,19 +2,14 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
 	"net/url"
 	"strings"
 
 	"github.com/pmezard/go-difflib/difflib"
-
-	"hemlockhinge/conf"
 )
 
 const (
-	checkHelp = `Checks a file of configuration objects offline. Prints every fault with its
-object and field. Exit status 2 when there is one.`
 	getHelp = `Prints the current configuration objects, and their version on standard error,
 for use with "apply --on". With --change, prints instead whether that change
 took effect, for use after an apply with an unknown outcome. Only the latest
@@ -40,33 +35,6 @@
 	return b, nil
 }
 
-type checkOptions struct {
-	fileArg
-}
-
-func checkCommand() command {
-	return command{
-		name:    "check",
-		short:   "Check a file of configuration objects",
-		long:    checkHelp,
-		options: &checkOptions{},
-	}
-}
-
-// Execute implements flags.Commander.
-func (r *checkOptions) Execute([]string) error {
-	b, err := r.read()
-	if err != nil {
-		return err
-	}
-	_, err = conf.ParseObjects(b)
-	var f *conf.Faults
-	if errors.As(err, &f) {
-		return withExitStatus(exitUsage, fmt.Errorf("%d faults in %s\n%w", len(f.List()), r.Args.File, f))
-	}
-	return err
-}
-
 type getOptions struct {
 	entryClient
 	ChangeID string `long:"change" description:"tell whether the change with this id took effect, instead"`
