Wire: frames are allocated as they arrive, within a quota

Cause: a frame was allocated by its claimed length, up to 4 MB for each connection, and could stand still for ever. Its decoded values take up to 16 times its length.

Change: the buffer of a frame doubles as the frame arrives. A connection may have a Quota: bytes and decoded values are reserved there until the message was handled, and a frame of which only a part has arrived must make progress. Without a Quota nothing else changes.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -59,23 +59,30 @@
 // it, and *DepthError if collections are nested too deeply. It does not check whether the data
 // is complete.
 func Check(b []byte) error {
+	_, err := Count(b)
+	return err
+}
+
+// Count is Check, and returns how many values b has, with those in collections.
+func Count(b []byte) (values int, err error) {
 	var n nesting
 	for i := 0; i < len(b); {
 		h := headerOf(b[i:])
 		if h.length < 0 || h.length > len(b)-i || h.elements > len(b)-i || h.elements > maxElements {
-			return &LengthError{
+			return values, &LengthError{
 				Offset: i,
 				Length: max(h.length, h.elements),
 			}
 		}
 		if !n.add(h.elements) {
-			return &DepthError{
+			return values, &DepthError{
 				Offset: i,
 			}
 		}
 		i += h.length
+		values++
 	}
-	return nil
+	return values, nil
 }
 
 // nesting holds how many elements of each collection around a value are still to come. The
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -34,8 +34,23 @@
 	MaxFrame     = 4 << 20
 	writeTimeout = 10 * time.Second
 	headerBytes  = 4
+	// firstFrameBytes is how much of a frame is allocated before any of it has arrived. The
+	// buffer doubles as the frame arrives, so that a length alone costs no memory.
+	firstFrameBytes = 4 << 10
+	// valueBytes is what a value takes at most once it is decoded, without the bytes of its
+	// text: an empty string is one byte in a frame and 16 in memory.
+	valueBytes = 16
 )
 
+// Quota bounds the frames that are in progress on connections of other processes.
+type Quota interface {
+	// Reserve reserves n bytes, and reports whether they were free.
+	Reserve(n int) bool
+	Release(n int)
+	// StallTime is how long a frame that has begun may make no progress.
+	StallTime() time.Duration
+}
+
 // Network opens and accepts connections.
 type Network interface {
 	Listen(addr string) (net.Listener, error)
@@ -63,6 +78,8 @@
 	ID      uint64
 	Reply   bool
 	Message Message
+	// reserved is what the frame holds of the connection's quota.
+	reserved int
 }
 
 // FrameError says that a frame is malformed, too large, or of an unexpected kind.
@@ -83,6 +100,8 @@
 	writeLock chan struct{}
 	bytesIn   atomic.Uint64
 	bytesOut  atomic.Uint64
+	// quota is nil if frames are bounded only by MaxFrame.
+	quota Quota
 }
 
 // NewConn wraps a connection.
@@ -94,6 +113,9 @@
 	}
 }
 
+// SetQuota bounds the frames that are received. It must be called before the first Read.
+func (c *Conn) SetQuota(q Quota) { c.quota = q }
+
 // Close closes the connection.
 func (c *Conn) Close() error { return c.net.Close() }
 
@@ -141,12 +163,91 @@
 			Detail: fmt.Sprintf("frame of %d bytes exceeds the limit of %d", n, MaxFrame),
 		}
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(c.r, b); err != nil {
+	b, reserved, err := c.readBody(int(n))
+	if err != nil {
+		c.release(reserved)
 		return Frame{}, err
 	}
 	c.bytesIn.Add(uint64(n) + headerBytes)
-	return decode(b)
+	f, more, err := c.decodeWithin(b)
+	if err != nil {
+		c.release(reserved + more)
+		return f, err
+	}
+	f.reserved = reserved + more
+	return f, nil
+}
+
+// decodeWithin decodes the body of a frame, and returns what it has reserved of the quota for
+// the decoded values of a large one.
+func (c *Conn) decodeWithin(b []byte) (f Frame, reserved int, err error) {
+	if c.quota == nil || len(b) <= firstFrameBytes {
+		f, err = decode(b)
+		return f, 0, err
+	}
+	n, err := codec.Count(b)
+	if err != nil {
+		return f, 0, &FrameError{
+			Detail: err.Error(),
+		}
+	}
+	if n *= valueBytes; !c.quota.Reserve(n) {
+		return f, 0, &FrameError{
+			Detail: fmt.Sprintf("no memory for the values of a frame of %d bytes", len(b)),
+		}
+	}
+	f, err = decode(b)
+	return f, n, err
+}
+
+// readBody reads the n bytes of a frame's body, and returns what it has reserved of the quota.
+func (c *Conn) readBody(n int) (b []byte, reserved int, err error) {
+	for {
+		size := min(n, max(firstFrameBytes, 2*len(b)))
+		if c.quota != nil {
+			if !c.quota.Reserve(size - reserved) {
+				return nil, reserved, &FrameError{
+					Detail: fmt.Sprintf("no memory for a frame of %d bytes", n),
+				}
+			}
+			reserved = size
+		}
+		v := make([]byte, size)
+		if err := c.readFull(v, copy(v, b)); err != nil {
+			return nil, reserved, err
+		}
+		if size == n {
+			return v, reserved, nil
+		}
+		b = v
+	}
+}
+
+// readFull reads b from an index on. A frame of which only a part has arrived must make progress
+// if there is a quota.
+func (c *Conn) readFull(b []byte, from int) error {
+	if c.quota == nil || c.r.Buffered() >= len(b)-from {
+		_, err := io.ReadFull(c.r, b[from:])
+		return err
+	}
+	for from < len(b) {
+		if err := c.net.SetReadDeadline(time.Now().Add(c.quota.StallTime())); err != nil {
+			return err
+		}
+		n, err := c.r.Read(b[from:])
+		from += n
+		if err != nil {
+			return err
+		}
+	}
+	return c.net.SetReadDeadline(time.Time{})
+}
+
+// release returns what a frame has reserved of the quota.
+func (c *Conn) release(n int) {
+	if c.quota != nil && n > 0 {
+		c.quota.Release(n)
+	}
 }
 
 func encode(f Frame) ([]byte, error) {
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -124,16 +124,19 @@
 			return err
 		}
 		if f.Reply {
+			p.conn.release(f.reserved)
 			p.deliver(f)
 			continue
 		}
 		select {
 		case p.handlerSlots <- struct{}{}:
 		case <-p.done:
+			p.conn.release(f.reserved)
 			return nil
 		}
 		w.Go(func() {
 			defer func() { <-p.handlerSlots }()
+			defer p.conn.release(f.reserved)
 			p.handleCall(c, f)
 		})
 	}
