Configuration: limits of request heads and of idle connections; a bounded list of faults

Cause: MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs of the operators' configuration were not read. A job can have more than a hundred thousand faults, each of which became a line.

Change: policy.Config has MaxHeaderBytes, HeaderTimeout and IdleTimeout; intake gives access to the newest configuration; graph keeps the first 100 faults of a job.

--- a/graph/check.go
+++ b/graph/check.go
@@ -17,7 +17,11 @@
 	maxDuration    = 365 * 24 * time.Hour
 )
 
-// InvalidError reports a job that fails validation, with all of its faults.
+// maxFaults is how many faults of a job are kept: a job may name a wrong step in each of many
+// thousand places, and the list goes into an answer.
+const maxFaults = 100
+
+// InvalidError reports a job that fails validation, with the first maxFaults of its faults.
 type InvalidError struct {
 	ID     string
 	Faults []string
@@ -67,7 +71,7 @@
 
 // require adds a fault unless ok.
 func (e *InvalidError) require(ok bool, format string, a ...any) {
-	if !ok {
+	if !ok && len(e.Faults) < maxFaults {
 		e.Faults = append(e.Faults, fmt.Sprintf(format, a...))
 	}
 }
--- a/intake/confirm.go
+++ b/intake/confirm.go
@@ -107,6 +107,13 @@
 	return d.config, d.config != nil && d.ports.Clock.Since(d.confirmedAt) <= age
 }
 
+// Config returns the newest configuration that is known, or nil.
+func (d *Intake) Config() *policy.Config {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.config
+}
+
 // configAge returns how long ago the store confirmed the configuration.
 func (d *Intake) configAge() time.Duration {
 	d.mu.Lock()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,6 +48,12 @@
 	Customers []Customer
 	// MaxBodyBytes is the maximum size of a request body, in bytes.
 	MaxBodyBytes int64
+	// MaxHeaderBytes is the maximum size of a request head, HeaderTimeout the maximum time
+	// for it, and IdleTimeout the maximum time between two requests of a connection. 0 leaves
+	// each to the process.
+	MaxHeaderBytes int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
 
 	indexOnce sync.Once
 	queues    map[string]*Queue
