Guard: bounds on what clients make a process hold

Cause: nothing bounded the connections, heads and bodies of all clients together, so that a crowd of legal requests ended a process.

Change: package guard, used on all ports of entries and agents. Dumps and metrics have a number of slots.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -20,10 +20,14 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/guard"
 	"hemlockhinge/wire"
 )
 
-const readHeaderTimeout = 10 * time.Second
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
 
 // Probe gives the endpoints access to a daemon's state.
 type Probe struct {
@@ -32,6 +36,25 @@
 	// Ready returns nil when the daemon accepts work, or the reason why it does
 	// not.
 	Ready func() error
+	// Slot, if set, takes one of a bounded number of slots for dumps and metrics, which take
+	// much memory to build, and returns a function that gives it back.
+	Slot func() (release func(), err error)
+}
+
+// bounded returns a handler that runs h in a slot, and refuses the request if there is none.
+func (p Probe) bounded(h echo.HandlerFunc) echo.HandlerFunc {
+	if p.Slot == nil {
+		return h
+	}
+	return func(c echo.Context) error {
+		release, err := p.Slot()
+		if err != nil {
+			guard.SetHeaders(c.Response().Header())
+			return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
+		}
+		defer release()
+		return h(c)
+	}
 }
 
 // NewEcho returns an echo instance without routes that prints nothing when it
@@ -53,10 +76,10 @@
 		}
 		return c.String(http.StatusOK, "ok\n")
 	})
-	e.GET("/v1/state", func(c echo.Context) error {
+	e.GET("/v1/state", p.bounded(func(c echo.Context) error {
 		return c.JSONPretty(http.StatusOK, p.State(), "  ")
-	})
-	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(r, promhttp.HandlerOpts{})))
+	}))
+	e.GET("/metrics", p.bounded(echo.WrapHandler(promhttp.HandlerFor(r, promhttp.HandlerOpts{}))))
 	return e
 }
 
@@ -88,12 +111,31 @@
 		},
 		log: g,
 	}
+	s.serve(l)
+	return s
+}
+
+// ServeGuarded is Serve for a listener that bounds what clients can make the process hold.
+func ServeGuarded(l *guard.Listener, u *guard.Guard, h http.Handler, g *logrus.Entry) *Server {
+	s := &Server{
+		http: &http.Server{
+			Handler:           u.Handler(h),
+			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
+		},
+		log: g,
+	}
+	l.Attach(s.http)
+	s.serve(l)
+	return s
+}
+
+func (s *Server) serve(l net.Listener) {
 	go func() {
 		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			g.WithError(err).Error("http_server_ended")
+			s.log.WithError(err).Error("http_server_ended")
 		}
 	}()
-	return s
 }
 
 // Shutdown stops the server gracefully: it waits for requests in progress until c
--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -50,6 +50,17 @@
 	// Status returns what the process knows about the site, as a value that
 	// encoding/json can marshal.
 	Status func() any
+	// Slot, if set, takes one of a bounded number of slots for what takes much memory, and
+	// returns a function that gives it back.
+	Slot func() (release func(), err error)
+}
+
+// slot takes a slot. Its error says that nothing has run.
+func (p Ports) slot() (release func(), err error) {
+	if p.Slot == nil {
+		return func() {}, nil
+	}
+	return p.Slot()
 }
 
 // Job is the representation of a job in answers.
@@ -66,6 +77,11 @@
 	e.GET("/v1/jobs/:id", p.get)
 	e.DELETE("/v1/jobs/:id", p.cancel)
 	e.GET("/v1/status", func(c echo.Context) error {
+		release, err := p.slot()
+		if err != nil {
+			return err
+		}
+		defer release()
 		return c.JSONPretty(http.StatusOK, p.Status(), "  ")
 	})
 }
@@ -93,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	q, err := jobs.ParseRequest(b)
+	q, err := p.parse(b)
 	if err != nil {
 		return err
 	}
@@ -123,6 +139,16 @@
 	})
 }
 
+// parse decodes a request. A body of few bytes can describe many steps.
+func (p Ports) parse(b []byte) (*jobs.Request, error) {
+	release, err := p.slot()
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	return jobs.ParseRequest(b)
+}
+
 // get handles GET /v1/jobs/{id}.
 func (p Ports) get(c echo.Context) error {
 	x, cancel := context.WithTimeout(c.Request().Context(), callTimeout)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -37,6 +37,8 @@
 	configAgeSeconds  prometheus.Histogram
 	workerCrashes     prometheus.Counter
 	heartbeatsRefused prometheus.Counter
+	clientsRefused    *prometheus.CounterVec
+	held              *heldCollector
 }
 
 // New registers a daemon's metrics.
@@ -81,8 +83,14 @@
 			Name:      "log_lines_dropped_total",
 			Help:      "Log lines beyond the budget.",
 		}),
+		clientsRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "clients_refused_total",
+			Help:      "Connections and requests that were refused or closed for want of room.",
+		}, []string{"cause"}),
+		held: newHeldCollector(),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.clientsRefused, m.held)
 	return m
 }
 
@@ -190,6 +198,21 @@
 	}
 }
 
+// ClientRefused counts a connection or a request that was refused or closed for want of room.
+func (m *Meter) ClientRefused(cause string) {
+	if m != nil {
+		m.clientsRefused.WithLabelValues(cause).Inc()
+	}
+}
+
+// WatchHeld makes the metrics of held bytes, by kind, and connections, by port, read f when
+// they are collected.
+func (m *Meter) WatchHeld(f func() (bytes, connections map[string]float64)) {
+	if m != nil {
+		m.held.read.Store(&f)
+	}
+}
+
 // LinesDropped counts dropped log lines.
 func (m *Meter) LinesDropped(n int) {
 	if m != nil {
--- a/refuse/refuse.go
+++ b/refuse/refuse.go
@@ -24,6 +24,7 @@
 	"github.com/labstack/echo/v4"
 
 	"hemlockhinge/conf"
+	"hemlockhinge/guard"
 	"hemlockhinge/store"
 )
 
@@ -51,6 +52,8 @@
 	Faults    []conf.Fault `json:"faults,omitempty"`
 
 	retryAfter time.Duration
+	// closes is set if the connection is closed after the response.
+	closes bool
 }
 
 // Error implements error.
@@ -93,6 +96,9 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Retry-After", strconv.Itoa(max(1, int(math.Ceil(d.Seconds())))))
+	if p.closes {
+		h.Set("Connection", "close")
+	}
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p)
 }
@@ -111,6 +117,10 @@
 // status 413; limitPhrase, such as "a job is", begins the message.
 func ReadBody(c echo.Context, maxBytes int64, limitPhrase string) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBytes+1))
+	var o *guard.RefusedError
+	if errors.As(err, &o) {
+		return nil, o
+	}
 	if err != nil || int64(len(b)) > maxBytes {
 		return nil, NotRun(http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("%s at most %d bytes", limitPhrase, maxBytes))
 	}
@@ -126,6 +136,7 @@
 	var a *store.UnavailableError
 	var t *store.TooLargeError
 	var h *echo.HTTPError
+	var o *guard.RefusedError
 	switch {
 	case errors.As(err, &p):
 		return p
@@ -141,6 +152,10 @@
 		return NotRun(http.StatusServiceUnavailable, "store", a.Error())
 	case errors.As(err, &a):
 		return MayHaveRun(http.StatusServiceUnavailable, "store", a.Error())
+	case errors.As(err, &o):
+		p = NotRun(http.StatusServiceUnavailable, "overloaded", o.Error()).RetryIn(guard.RetryAfter)
+		p.closes = true
+		return p
 	case errors.As(err, &h):
 		return NotRun(h.Code, "http", http.StatusText(h.Code))
 	}
