Guard: bytes of a body are not counted as a head

Cause: while a body arrived, its connection was in the state of one whose head arrives. Bodies of more than 20 KB were refused as too long a head, also without any overload.

Change: a state of its own for connections whose body arrives.

--- a/guard/body.go
+++ b/guard/body.go
@@ -99,7 +99,7 @@
 		return 0, b.refuse(causeBytes)
 	}
 	if b.read == 0 {
-		b.conn.setState(receiving)
+		b.conn.setState(uploading)
 		now := time.Now()
 		if !b.claim.progress(now, now.Add(b.guard.settings.StallTime)) {
 			return 0, b.refuse(causeDisplaced)
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -74,8 +74,10 @@
 	fresh state = iota
 	// idle connections have been served and wait for the next request.
 	idle
-	// receiving connections have sent a part of a request.
+	// receiving connections have sent a part of a head.
 	receiving
+	// uploading connections have sent a head and a part of a body.
+	uploading
 	// busy connections have a request that is being handled.
 	busy
 	stateCount
@@ -221,8 +223,10 @@
 	if c := l.oldest(idle); c != nil && (l.heads != nil || now.Sub(c.since) > displaceAfter) {
 		return c
 	}
-	if c := l.oldest(receiving); c != nil && now.Sub(c.since) > displaceAfter {
-		return c
+	for _, s := range []state{receiving, uploading} {
+		if c := l.oldest(s); c != nil && now.Sub(c.since) > displaceAfter {
+			return c
+		}
 	}
 	for e := l.conns[busy].Front(); e != nil; e = e.Next() {
 		c := e.Value.(*Conn)
@@ -313,7 +317,7 @@
 		return n, err
 	}
 	switch c.currentState() {
-	case busy:
+	case uploading, busy:
 		return n, err
 	case fresh, idle:
 		c.setState(receiving)
