--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -80,6 +80,18 @@
 	}
 }
 
+// TestCount guards against values that are not counted, whose memory nothing bounds then.
+func TestCount(t *testing.T) {
+	b, err := msgpack.Marshal(map[string]any{"a": []int{1, 2, 3}, "b": nil})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = 8
+	if n, err := codec.Count(b); n != want || err != nil {
+		t.Errorf("%d values, want %d; error %v", n, want, err)
+	}
+}
+
 // FuzzUnmarshal checks that whatever the library writes passes the check, and that no
 // input makes decoding fail other than with an error.
 func FuzzUnmarshal(f *testing.F) {
--- a/graph/graph_test.go
+++ b/graph/graph_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -124,6 +125,16 @@
 	}
 }
 
+// TestManyFaults guards against a job whose faults take many times the length of the job.
+func TestManyFaults(t *testing.T) {
+	j := twoSteps()
+	j.Steps[1].After = slices.Repeat([]int{5}, 100_000)
+	var e *graph.InvalidError
+	if !errors.As(j.Check(), &e) || len(e.Faults) > 1000 {
+		t.Errorf("%d faults are kept", len(e.Faults))
+	}
+}
+
 func assertFaults(t *testing.T, err error, want []string) {
 	t.Helper()
 	var e *graph.InvalidError
--- a/guard/settings.go
+++ b/guard/settings.go
@@ -44,8 +44,9 @@
 	smallShare    = 16
 )
 
-// Shares of the memory. The process needs about 20 MB by itself, so on the smallest machine of
-// 144 MB all budgets together stay below the soft limit of the Go runtime, 70%.
+// Shares of the memory. On the smallest machine of 144 MB all budgets together are 93 MB, below the
+// soft limit of the Go runtime (70%, 101 MB); the process needs about 20 MB by itself. A body counts
+// four times from the start, so the budgets are not full at once in practice.
 const (
 	bodyShare       = 4
 	frameShare      = 16
