Guard: settings for the time until a connection gives way, and for heads

Cause: these limits were constants, and every added limit is to have a setting.

Measured: go test -count=5 -race ./guard ./platform held.

--- a/guard/body.go
+++ b/guard/body.go
@@ -116,7 +116,7 @@
 		return n, err
 	}
 	now := time.Now()
-	if now.Sub(b.refreshedAt) > min(b.guard.settings.StallTime/refreshShare, stalledAfter/2) {
+	if now.Sub(b.refreshedAt) > min(b.guard.settings.StallTime/refreshShare, b.guard.settings.YieldTime/2) {
 		b.refreshedAt = now
 		if !b.claim.progress(now, now.Add(b.guard.settings.StallTime)) {
 			return n, b.refuse(causeDisplaced)
--- a/guard/budget.go
+++ b/guard/budget.go
@@ -9,10 +9,6 @@
 // as a record and in the call to the store.
 const bodyCopies = 4
 
-// stalledAfter is the time without progress after which a body gives way to others when the
-// budget is used up.
-const stalledAfter = time.Second
-
 // past is a deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
@@ -25,6 +21,8 @@
 // received lose their claim to others; what is being handled keeps it.
 type budget struct {
 	limit int64
+	// yieldTime is the time without progress after which a claim gives way to any other.
+	yieldTime time.Duration
 
 	mu        sync.Mutex
 	held      int64
@@ -113,7 +111,7 @@
 	return best
 }
 
-func (c *claim) stalled(now time.Time) bool { return now.Sub(c.progressAt) > stalledAfter }
+func (c *claim) stalled(now time.Time) bool { return now.Sub(c.progressAt) > c.budget.yieldTime }
 
 // yieldsBefore reports whether c gives way before v.
 func (c *claim) yieldsBefore(v *claim, now time.Time) bool {
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -19,7 +19,7 @@
 	Idle    time.Duration
 }
 
-// DefaultHeads are the limits where no configuration says otherwise.
+// DefaultHeads are the limits where neither a configuration nor the settings say otherwise.
 var DefaultHeads = Heads{
 	MaxBytes: 16 << 10,
 	Timeout:  10 * time.Second,
@@ -46,9 +46,6 @@
 	readBuffer = 4 << 10
 	// headCopies is how many times a head is held: as text and as fields.
 	headCopies = 2
-	// displaceAfter is the age from which a connection that has not yet sent a whole
-	// request may be closed for a new one.
-	displaceAfter = time.Second
 	// acceptPause is the pause after an error of the system, such as a want of descriptors.
 	acceptPause = 100 * time.Millisecond
 	// writePiece is the part of an answer that must be sent within the stall time.
@@ -100,7 +97,7 @@
 }
 
 // HTTP returns a listener for HTTP connections to a port. heads returns the limits in force;
-// fields that are 0 get those of DefaultHeads.
+// fields that are 0 get those of the settings.
 func (g *Guard) HTTP(l net.Listener, port string, heads func() Heads) *Listener {
 	v := g.listener(l, port)
 	v.heads = heads
@@ -217,20 +214,21 @@
 
 // victim returns the connection that gives way to a new one, or nil; l.mu is held.
 func (l *Listener) victim(now time.Time) *Conn {
-	if c := l.oldest(fresh); c != nil && now.Sub(c.since) > displaceAfter {
+	old := now.Add(-l.guard.settings.YieldTime)
+	if c := l.oldest(fresh); c != nil && c.since.Before(old) {
 		return c
 	}
-	if c := l.oldest(idle); c != nil && (l.heads != nil || now.Sub(c.since) > displaceAfter) {
+	if c := l.oldest(idle); c != nil && (l.heads != nil || c.since.Before(old)) {
 		return c
 	}
 	for _, s := range []state{receiving, uploading} {
-		if c := l.oldest(s); c != nil && now.Sub(c.since) > displaceAfter {
+		if c := l.oldest(s); c != nil && c.since.Before(old) {
 			return c
 		}
 	}
 	for e := l.conns[busy].Front(); e != nil; e = e.Next() {
 		c := e.Value.(*Conn)
-		if t := c.writingSince.Load(); t != 0 && now.Sub(time.Unix(0, t)) > displaceAfter {
+		if t := c.writingSince.Load(); t != 0 && t < old.UnixNano() {
 			return c
 		}
 	}
@@ -378,7 +376,7 @@
 	}
 }
 
-func (l *Listener) limits() Heads { return l.heads().Or(DefaultHeads) }
+func (l *Listener) limits() Heads { return l.heads().Or(l.guard.settings.Heads) }
 
 // SetReadDeadline implements net.Conn. net/http sets a deadline before it waits for a request,
 // removes it when the first bytes are there, and sets one before it reads a head. Both are
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -86,7 +86,8 @@
 		meter:    m,
 		log:      g,
 		bodies: budget{
-			limit: s.BodyBytes,
+			limit:     s.BodyBytes,
+			yieldTime: s.YieldTime,
 		},
 		frames:    semaphore.NewWeighted(s.FrameBytes),
 		slots:     semaphore.NewWeighted(int64(s.MaxDumps)),
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -238,7 +238,7 @@
 		if n := answer(c); n != http.StatusOK {
 			t.Errorf("status %d for a small body beside large ones", n)
 		}
-		time.Sleep(2 * stalledAfter)
+		time.Sleep(2 * defaultYieldTime)
 		write(c, post(length, strings.Repeat("x", length)))
 		if n := answer(c); n != http.StatusOK {
 			t.Errorf("status %d for a large body beside stalled ones", n)
@@ -253,7 +253,8 @@
 func TestCustomersShareBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := budget{
-			limit: 100,
+			limit:     100,
+			yieldTime: defaultYieldTime,
 		}
 		var large []*claim
 		for range 10 {
@@ -290,7 +291,8 @@
 // being handled.
 func TestSettledBodyKeepsClaim(t *testing.T) {
 	b := budget{
-		limit: 10,
+		limit:     10,
+		yieldTime: defaultYieldTime,
 	}
 	c := b.claim(&net.TCPConn{})
 	if !c.grow(10) || !c.settle() {
@@ -315,13 +317,13 @@
 		wait   time.Duration
 		want   int
 	}{
-		{"silent", "", false, 2 * displaceAfter, http.StatusOK},
+		{"silent", "", false, 2 * defaultYieldTime, http.StatusOK},
 		{"silent, just opened", "", false, 0, http.StatusServiceUnavailable},
 		{"idle", ok, true, 0, http.StatusOK},
-		{"head that stands still", "GET / HT", false, 2 * displaceAfter, http.StatusOK},
-		{"body that stands still", post(9, "x"), false, 2 * displaceAfter, http.StatusOK},
+		{"head that stands still", "GET / HT", false, 2 * defaultYieldTime, http.StatusOK},
+		{"body that stands still", post(9, "x"), false, 2 * defaultYieldTime, http.StatusOK},
 		{"body that has begun", post(9, "x"), false, 0, http.StatusServiceUnavailable},
-		{"answer that nobody reads", ok, false, 2 * displaceAfter, http.StatusOK},
+		{"answer that nobody reads", ok, false, 2 * defaultYieldTime, http.StatusOK},
 	}
 	for _, v := range cases {
 		t.Run(v.name, func(t *testing.T) {
--- a/guard/settings.go
+++ b/guard/settings.go
@@ -23,6 +23,11 @@
 	MaxDumps int
 	// StallTime is how long a body, a frame or an answer may make no progress.
 	StallTime time.Duration
+	// YieldTime is after how long without a request or progress a connection or a body may give
+	// way to a new one when there is no room.
+	YieldTime time.Duration
+	// Heads are the limits of heads where no configuration says otherwise.
+	Heads Heads
 }
 
 // Limits that are assumed where the settings have none.
@@ -66,6 +71,7 @@
 	minDumps           = 2
 	defaultSocketBytes = 16 << 10
 	defaultStallTime   = 10 * time.Second
+	defaultYieldTime   = time.Second
 )
 
 // WithDefaults returns the settings with all zero fields derived from the memory and the
@@ -90,6 +96,8 @@
 	setDefault(&s.SocketBuffer, defaultSocketBytes)
 	setDefault(&s.MaxDumps, max(int(memory/dumpMemory), minDumps))
 	setDefault(&s.StallTime, defaultStallTime)
+	setDefault(&s.YieldTime, defaultYieldTime)
+	s.Heads = s.Heads.Or(DefaultHeads)
 	return s
 }
 
