Rank by cost: units for which room was made come first in their class

Cause: a unit that moved back in the order lost the room that was made for it, and others were stopped once more. Change: it ranks like one that was overtaken as often as allowed.

--- a/leader/rank.go
+++ b/leader/rank.go
@@ -9,6 +9,11 @@
 // itemOf returns a unit as package order takes it.
 func itemOf(j *job, q *policy.Queue, u *alloc.Unit, v timing) order.Item {
 	work := j.work()
+	overtaken := j.overtaken
+	if len(u.Room) > 0 {
+		// Others must not take the room that was made for the unit: more would be stopped.
+		overtaken = order.MaxOvertaken
+	}
 	return order.Item{
 		Customer:   j.Customer,
 		Queue:      j.Queue,
@@ -21,7 +26,7 @@
 		Size:       coreEquivalents(u.Step.Size) * float64(len(u.Tasks)),
 		Work:       work,
 		Left:       work * j.shareLeft(),
-		Overtaken:  j.overtaken,
+		Overtaken:  overtaken,
 	}
 }
 
--- a/order/policy.go
+++ b/order/policy.go
@@ -13,7 +13,8 @@
 	// firstOrdinal is the rank of the first unit that is not guaranteed. It is far above
 	// any age, which is the rank of guaranteed units.
 	firstOrdinal = 1e12
-	// MaxOvertaken is how many younger jobs of its queue may overtake a unit.
+	// MaxOvertaken is how many younger jobs of its queue may overtake a unit. It then ranks before
+	// all others of its class.
 	MaxOvertaken = 50
 	// urgencyFactor times its objective is the slack with which a unit counts half as much
 	// as one without slack.
