Findings of a newcomer's review

Cause: a fresh reader found, by reading: speeds that were not stored again after a failed write; predecessor_released logged although the call had failed, and the check lost with one unanswered read; a pace that mixed two clocks after a restart of an agent; metrics of workers that are gone; jobs of earlier terms counted as overtaking; bodies evicted for a claim that could never fit; long heads that count as stalled while they arrive; a check that refused what daemons accept; measurements in comments.

--- a/alloc/speed.go
+++ b/alloc/speed.go
@@ -7,7 +7,7 @@
 )
 
 // equalSpeedRatio is the ratio up to which two speeds count as equal, so that best fit
-// decides between the workers. Estimated speeds are off by about 10%.
+// decides between the workers: estimates are not exact.
 const equalSpeedRatio = 1.15
 
 // speedOrder says how an attempt to place a unit chooses between workers of different
--- a/codec/codec.go
+++ b/codec/codec.go
@@ -63,7 +63,7 @@
 	return err
 }
 
-// Count is Check, and returns how many values b has, with those in collections.
+// Count checks b like Check, and returns the number of its values, with those in collections.
 func Count(b []byte) (values int, err error) {
 	var n nesting
 	for i := 0; i < len(b); {
--- a/guard/budget.go
+++ b/guard/budget.go
@@ -74,7 +74,7 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.displaced {
+	if c.displaced || c.bytes+n > b.limit {
 		return false
 	}
 	for b.held+n > b.limit {
@@ -155,6 +155,13 @@
 	return !c.displaced
 }
 
+// touch records that bytes arrived.
+func (c *claim) touch() {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.progressAt = time.Now()
+}
+
 // settle records that the body is complete, so that the claim is kept until release, and
 // removes the deadline. It returns false if the claim was displaced.
 func (c *claim) settle() bool {
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -338,7 +338,8 @@
 		g.record(causeHead)
 		return c.reject(response431)
 	}
-	if c.headClaim.Load() != nil {
+	if v := c.headClaim.Load(); v != nil {
+		v.touch()
 		return nil
 	}
 	v := g.bodies.claim(c.Conn)
--- a/guard/settings.go
+++ b/guard/settings.go
@@ -49,9 +49,8 @@
 	smallShare    = 16
 )
 
-// Shares of the memory. On the smallest machine of 144 MB all budgets together are 93 MB, below the
-// soft limit of the Go runtime (70%, 101 MB); the process needs about 20 MB by itself. A body counts
-// four times from the start, so the budgets are not full at once in practice.
+// Shares of the memory. Together with what the process needs by itself they leave a part free, so that
+// the collector keeps up when all budgets are used.
 const (
 	bodyShare       = 4
 	frameShare      = 16
@@ -60,8 +59,7 @@
 )
 
 // connectionBytes is the memory of a connection without its head and body: two buffers of
-// 4 KB, a goroutine and its stack. The tests of package crowd saw 15 KB for a connection with a
-// begun head and 25 KB for one with a body that nothing reads.
+// 4 KB, a goroutine and its stack.
 const connectionBytes = 24 << 10
 
 const (
--- a/leader/agent.go
+++ b/leader/agent.go
@@ -141,6 +141,7 @@
 	}
 	m.cancel()
 	delete(t.agents, m.addr)
+	t.leader.ports.Meter.ForgetWorkerSpeed(m.addr)
 	for _, r := range m.runs {
 		t.removeLostRun(m, r)
 	}
--- a/leader/dump.go
+++ b/leader/dump.go
@@ -48,8 +48,8 @@
 	UnexpectedRuns int    `json:"unexpected_runs,omitempty"`
 	FailureScore   int    `json:"doubt,omitempty"`
 	Outlier        bool   `json:"outlier,omitempty"`
-	// Speed is 1 for a normal worker; SpeedUncertainty is the standard deviation of its
-	// logarithm, 0 while the speed is unknown.
+	// Speed is 1 for a normal worker, and while nothing is known of it; SpeedUncertainty is the
+	// standard deviation of its logarithm.
 	Speed            float64 `json:"speed"`
 	SpeedUncertainty float64 `json:"speed_uncertainty"`
 	FreeAccelerators int     `json:"free_accelerators"`
--- a/leader/election.go
+++ b/leader/election.go
@@ -46,9 +46,9 @@
 	mu       sync.Mutex
 	holder   holder
 	revision uint64
-	// predecessorReleased is set once the role of an earlier process at this address was looked
+	// predecessorChecked is set once the role of an earlier process at this address was looked
 	// for.
-	predecessorReleased bool
+	predecessorChecked bool
 	// renewedAt is when the last renewal was sent that the store has answered.
 	renewedAt clock.Time
 }
@@ -88,13 +88,19 @@
 // gone, since this process listens there, and its lease would block the role until it expires.
 func (r *Role) releasePredecessor(c context.Context) {
 	r.mu.Lock()
-	done := r.predecessorReleased
-	r.predecessorReleased = true
+	done := r.predecessorChecked
 	r.mu.Unlock()
 	if done {
 		return
 	}
 	i, err := r.store.Get(c, roleKey)
+	var none *store.NotFoundError
+	if err != nil && !errors.As(err, &none) {
+		return
+	}
+	r.mu.Lock()
+	r.predecessorChecked = true
+	r.mu.Unlock()
 	if err != nil || i.Lease == 0 {
 		return
 	}
@@ -102,8 +108,11 @@
 	if id, addr := r.Holder(); id != r.self.ID || addr != r.self.Addr {
 		return
 	}
-	err = r.store.Revoke(c, i.Lease)
-	r.log.WithError(err).WithField("epoch", i.Revision).Info("predecessor_released")
+	if err := r.store.Revoke(c, i.Lease); err != nil {
+		r.log.WithError(err).WithField("epoch", i.Revision).Warn("predecessor_not_released")
+		return
+	}
+	r.log.WithField("epoch", i.Revision).Info("predecessor_released")
 }
 
 // tryAcquire acquires the role if it is free, and otherwise waits until the role key
--- a/leader/launch.go
+++ b/leader/launch.go
@@ -88,7 +88,9 @@
 	r.session = r.agent.session
 	r.requestClockMS = m.LastAgentMS
 	if j.startCount == 0 {
-		t.countOvertaken(j)
+		if !j.progress.Started {
+			t.countOvertaken(j)
+		}
 		j.firstStartDelay = time.Since(j.arrivedAt)
 	}
 	j.startCount++
--- a/leader/progress.go
+++ b/leader/progress.go
@@ -28,8 +28,6 @@
 	firstListedMS int64
 	lastPercent   int
 	lastListedMS  int64
-	// measured means that the run time of the gang was measured at an end.
-	measured bool
 }
 
 // Least progress and time from which a pace tells the run time: progress comes in whole
@@ -44,14 +42,20 @@
 	if listedMS <= p.lastListedMS || percent >= fullPercent {
 		return
 	}
-	if p.firstListedMS == 0 || percent < p.lastPercent {
-		if percent > 0 {
-			p.firstPercent, p.firstListedMS = percent, listedMS
-		}
+	if percent < p.lastPercent {
+		p.firstListedMS = 0
+	}
+	if p.firstListedMS == 0 && percent > 0 {
+		p.firstPercent, p.firstListedMS = percent, listedMS
 	}
 	p.lastPercent, p.lastListedMS = percent, listedMS
 }
 
+// forgetPace forgets the pace, after a restart of the agent has reset the clock.
+func (p *runProgress) forgetPace() {
+	p.firstListedMS, p.lastListedMS, p.lastPercent = 0, 0, 0
+}
+
 // paceTotal extrapolates the whole run time from the pace. It returns false while too little
 // progress was listed.
 func (p *runProgress) paceTotal() (time.Duration, bool) {
--- a/leader/rank.go
+++ b/leader/rank.go
@@ -9,11 +9,6 @@
 // itemOf returns a unit as package order takes it.
 func itemOf(j *job, q *policy.Queue, u *alloc.Unit, v timing) order.Item {
 	work := j.work()
-	overtaken := j.overtaken
-	if len(u.Room) > 0 {
-		// Others must not take the room that was made for the unit: more would be stopped.
-		overtaken = order.MaxOvertaken
-	}
 	return order.Item{
 		Customer:   j.Customer,
 		Queue:      j.Queue,
@@ -26,7 +21,8 @@
 		Size:       coreEquivalents(u.Step.Size) * float64(len(u.Tasks)),
 		Work:       work,
 		Left:       work * j.shareLeft(),
-		Overtaken:  overtaken,
+		Reserved:   len(u.Room) > 0,
+		Overtaken:  j.overtaken,
 	}
 }
 
@@ -83,8 +79,7 @@
 	}
 }
 
-// countOvertaken is called when a job starts for the first time: the older jobs of its queue that
-// still wait have been overtaken.
+// countOvertaken counts the first start of j at the older jobs of its queue that still wait.
 func (t *term) countOvertaken(j *job) {
 	for _, o := range t.jobs {
 		if o.revision < j.revision && o.startCount == 0 && !o.progress.Started && o.Queue == j.Queue && o.schedulable() {
--- a/leader/session.go
+++ b/leader/session.go
@@ -130,6 +130,9 @@
 	m.lastContact = time.Now()
 	if s.AgentMS < m.agentClockMS {
 		m.agentRestarts++
+		for _, r := range m.runs {
+			r.progress.forgetPace()
+		}
 	}
 	m.agentClockMS = s.AgentMS
 	for _, r := range m.runs {
--- a/leader/speeds.go
+++ b/leader/speeds.go
@@ -123,11 +123,10 @@
 	if s.Gang {
 		k.Index = 0
 		workers = j.gangWorkers(r)
-		if len(workers) == 0 || r.progress.measured {
+		if len(workers) == 0 {
 			return
 		}
 	}
-	r.progress.measured = !partial
 	v := t.speedsOf(j.Service)
 	v.changed = true
 	v.estimator.Observe(k.String()+"#"+strconv.Itoa(r.attempt), speed.Sample{
@@ -182,6 +181,7 @@
 			continue
 		}
 		m.speed = v.estimator.Speed(m.addr)
+		t.leader.ports.Meter.WorkerSpeed(m.addr, m.speed.Factor, m.speed.Uncertainty)
 		t.logSpeed(m)
 		if m.speed.Uncertainty > knownUncertainty {
 			continue
@@ -201,11 +201,10 @@
 
 // logSpeed logs the speed of a worker when it is known and has changed by much.
 func (t *term) logSpeed(m *agentState) {
-	t.leader.ports.Meter.WorkerSpeed(m.addr, m.speed.Factor, m.speed.Uncertainty)
 	if m.speed.Uncertainty > knownUncertainty {
 		return
 	}
-	if c := m.speed.Factor / max(m.loggedSpeed, math.SmallestNonzeroFloat32); c > 1-loggedSpeedChange && c < 1+loggedSpeedChange {
+	if c := m.speed.Factor / m.loggedSpeed; c > 1-loggedSpeedChange && c < 1+loggedSpeedChange {
 		return
 	}
 	m.loggedSpeed = m.speed.Factor
@@ -218,7 +217,7 @@
 }
 
 // slowestSufficient returns the speed below which a worker is too slow for the slack of some queue
-// of a service: its runs end after the objective even if they start at once.
+// of a service, by the slack factor alone; the target of the queue is not counted.
 func (t *term) slowestSufficient(service string) float64 {
 	o := t.leader.currentOperatorSettings()
 	if o.Config == nil {
@@ -237,7 +236,8 @@
 const maxUsefulSpeed = 1.5
 
 // minSpeed returns the speed at which the step still ends within the objective, or, if it is late
-// already, while its result has a value; 0 if no speed is enough.
+// already, while its result has a value; 0, which admits any worker, if even
+// maxUsefulSpeed is not enough.
 func (v timing) minSpeed() float64 {
 	for _, end := range []time.Duration{v.objective, alloc.TardyFactor * v.objective} {
 		left := end - v.waited - slackMargin
@@ -254,6 +254,9 @@
 // runSpeed returns the speed at which a run progresses: that of its worker, or of the slowest worker
 // of its gang.
 func (t *term) runSpeed(j *job, r *run) float64 {
+	if !t.uneven(j.Service) {
+		return 1
+	}
 	if !j.Steps[r.task.Step].Gang {
 		return t.speedFactor(r.agent)
 	}
--- a/leader/speeds_test.go
+++ b/leader/speeds_test.go
@@ -159,6 +159,17 @@
 		}
 		assertKnown(t, v, false)
 	})
+	t.Run("a write that failed is repeated", func(t *testing.T) {
+		s := &speedStore{holder: testEpoch, down: true}
+		v := newSpeedTerm(s)
+		v.runSteps(func(i int) float64 { return slowIf(i%3 == 0) })
+		v.storeSpeeds(t.Context())
+		s.down = false
+		v.storeSpeeds(t.Context())
+		if s.value == nil {
+			t.Error("the speeds are not stored although the store answers again")
+		}
+	})
 	t.Run("stored after the role was lost", func(t *testing.T) {
 		s := &speedStore{holder: testEpoch + 1}
 		learn(s)
@@ -228,6 +239,17 @@
 	if d, _ := p.paceTotal(); d != 5*time.Second {
 		t.Errorf("the run takes %s, want 5s", d)
 	}
+	p.observePace(0, 3500)
+	p.observePace(20, 4000)
+	if _, ok := p.paceTotal(); ok {
+		t.Error("the pace goes by the progress of an earlier attempt")
+	}
+	p.observePace(60, 6000)
+	p.forgetPace()
+	p.observePace(10, 500)
+	if _, ok := p.paceTotal(); ok {
+		t.Error("the pace goes by the clock of an agent that was restarted")
+	}
 }
 
 // TestMinSpeed guards against units that wait for workers that cannot help them, and against late
--- a/leader/storespeeds.go
+++ b/leader/storespeeds.go
@@ -21,8 +21,6 @@
 	// storeSpeedsInterval is the time between two writes of the speeds: what was learnt since
 	// the last one is lost with the scheduler.
 	storeSpeedsInterval = 3 * time.Second
-	// storedUncertainty is the largest uncertainty of a speed that is stored.
-	storedUncertainty = 0.25
 	// keptPerWorker bounds the stored speeds to that many for each present worker: those of
 	// absent ones are of use only if they come back.
 	keptPerWorker = 2
@@ -92,7 +90,7 @@
 }
 
 // storeSpeeds stores the speeds of uneven services, on condition that this term still holds the
-// role. A failed write is made up for by the next one.
+// role. A write that failed is repeated by the next call.
 func (t *term) storeSpeeds(c context.Context) {
 	l := t.speedsToStore()
 	if len(l) == 0 {
@@ -101,23 +99,31 @@
 	b, err := msgpack.Marshal(l)
 	if err == nil {
 		_, err = t.leader.ports.Store.Commit(c, store.Txn{
-			If:  []store.Precondition{{Key: roleKey, Revision: t.leadership.epoch}},
-			Put: []store.Write{{Key: speedsKey, Value: b}},
+			If: []store.Precondition{{
+				Key:      roleKey,
+				Revision: t.leadership.epoch,
+			}},
+			Put: []store.Write{{
+				Key:   speedsKey,
+				Value: b,
+			}},
 		})
 	}
-	if err != nil && c.Err() == nil {
+	if err != nil {
 		t.log.WithError(err).Info("speeds_not_stored")
+		t.mu.Lock()
+		t.speedsChanged = true
+		t.mu.Unlock()
 	}
 }
 
 // speedsToStore returns the speeds of the workers of uneven services, or nil if none has changed since
-// the last call. Speeds of workers that are gone for now are kept.
+// the last write. Speeds of workers that are gone for now are kept.
 func (t *term) speedsToStore() map[string]storedSpeed {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := false
 	for a, m := range t.agents {
-		if !t.uneven(m.worker.Service) || m.speed.Uncertainty > storedUncertainty {
+		if !t.uneven(m.worker.Service) || m.speed.Uncertainty > knownUncertainty {
 			continue
 		}
 		v := storedSpeed{
@@ -130,12 +136,13 @@
 				t.storedSpeeds = map[string]storedSpeed{}
 			}
 			t.storedSpeeds[a] = v
-			changed = true
+			t.speedsChanged = true
 		}
 	}
-	if !changed {
+	if !t.speedsChanged {
 		return nil
 	}
+	t.speedsChanged = false
 	if len(t.storedSpeeds) > keptPerWorker*len(t.agents) {
 		maps.DeleteFunc(t.storedSpeeds, func(a string, _ storedSpeed) bool { return t.agents[a] == nil })
 	}
--- a/leader/term.go
+++ b/leader/term.go
@@ -60,13 +60,15 @@
 	cancellations map[string]bool
 	agents        map[string]*agentState
 	sessionCount  uint64
-	// meanRunTime is the moving average of the run times of each queue.
+	// meanRunTime is the moving average of the run times of each queue at normal speed.
 	meanRunTime map[string]time.Duration
 	// speeds are the speeds of the workers of each service.
 	speeds          map[string]*serviceSpeeds
 	speedsUpdatedAt time.Time
 	// storedSpeeds are the speeds that earlier terms have stored, by the addresses of agents.
 	storedSpeeds map[string]storedSpeed
+	// speedsChanged means that storedSpeeds differs from what is in the store.
+	speedsChanged bool
 	// keepsRoom is what contended returned last.
 	keepsRoom bool
 	// room is where the last decision made room for units, by their first tasks.
@@ -122,6 +124,7 @@
 	t.goroutines.Go(func() { t.lateTimers.run(c) })
 	t.passLoop(c)
 	t.goroutines.Wait()
+	t.leader.ports.Meter.ForgetWorkerSpeeds()
 }
 
 // requestPass wakes passLoop.
--- a/leader/units.go
+++ b/leader/units.go
@@ -33,7 +33,7 @@
 	capacity map[string]graph.Size
 	// earlyLosses is as countEarlyLosses returns it.
 	earlyLosses map[graph.Task]int
-	// contended is as the term returns it.
+	// contended is the result of term.contended.
 	contended bool
 	units     []alloc.Unit
 	// items are the units as package order takes them, if they are ranked by cost.
@@ -96,6 +96,31 @@
 		return
 	}
 	v := l.term.timingOf(j, q, occurrence, step, l.now, l.timeOfDayMS)
+	u := l.newUnit(j, q, s, tasks, v)
+	if s.MaxPerWorker > 0 {
+		u.RunningPerWorker = j.runsPerWorker(occurrence, step, l.agents)
+	}
+	if s.Gang {
+		l.add(j, q, u, v)
+		return
+	}
+	wave := waveSize(l.capacity[q.Service], s.Size)
+	for i := range tasks {
+		w := u
+		w.Tasks = tasks[i : i+1]
+		w.Work = u.Work / float64(len(tasks))
+		w.NoPreemption = !j.withinGuarantee && active+i >= wave
+		w.Reserve = u.Reserve && !w.NoPreemption
+		l.add(j, q, w, v)
+	}
+}
+
+// endWaitShare is the share of a unit's slack that it waits for runs to end by themselves, where
+// room that is made for it is kept.
+const endWaitShare = 0.5
+
+// newUnit returns the unit of tasks that may start.
+func (l *unitLister) newUnit(j *job, q *policy.Queue, s *graph.Step, tasks []graph.Task, v timing) alloc.Unit {
 	o := orderOf(j, q, v)
 	slack := l.term.slack(j, q, l.now)
 	stopTime := l.term.leader.settings.MaxStopTime
@@ -119,29 +144,14 @@
 		u.AllowedWorkers = l.term.approvedWorkers(tasks[0], l.agents, l.now)
 	}
 	if l.contended {
-		u.EndWait = max(slack/2, stopTime)
+		u.EndWait = max(time.Duration(endWaitShare*float64(slack)), stopTime)
 	}
 	if l.term.uneven(q.Service) {
 		u.Uneven = true
 		u.MinSpeed = v.minSpeed()
 		u.WaitForSpeed = slack > stopTime
 	}
-	if s.MaxPerWorker > 0 {
-		u.RunningPerWorker = j.runsPerWorker(occurrence, step, l.agents)
-	}
-	if s.Gang {
-		l.add(j, q, u, v)
-		return
-	}
-	wave := waveSize(l.capacity[q.Service], s.Size)
-	for i := range tasks {
-		w := u
-		w.Tasks = tasks[i : i+1]
-		w.Work = u.Work / float64(len(tasks))
-		w.NoPreemption = !j.withinGuarantee && active+i >= wave
-		w.Reserve = u.Reserve && !w.NoPreemption
-		l.add(j, q, w, v)
-	}
+	return u
 }
 
 // add adds a unit. One with a suspect stops no others: its workers may crash.
--- a/lint/check.go
+++ b/lint/check.go
@@ -68,7 +68,7 @@
 	if g.MaxBodyBytes < 0 {
 		c.add(Error, General, 0, MaxBodyBytes, "must not be negative, is %d", g.MaxBodyBytes)
 	}
-	if h := c.doc.MaxHeaderBytes; g.MaxBodyBytes > 0 && h > g.MaxBodyBytes {
+	if h := g.MaxHeaderBytes; g.MaxBodyBytes > 0 && h > g.MaxBodyBytes {
 		c.add(Warning, General, 0, MaxHeaderBytes, "headers may have %d bytes, more than bodies, which may have %d", h, g.MaxBodyBytes)
 	}
 }
--- a/lint/compare.go
+++ b/lint/compare.go
@@ -272,8 +272,16 @@
 		c.add(pick(b < a, Warning, Info), c.next.locate(General, 0, MaxBodyBytes), generalEntry, from(a, b),
 			pick(b == 0, "the default limit holds for submissions", fmt.Sprintf("submissions with more than %d bytes are refused", b)))
 	}
-	if a, b := c.old.MaxHeaderBytes, c.next.MaxHeaderBytes; a != b {
-		c.add(Info, c.next.locate(General, 0, MaxHeaderBytes), generalEntry, from(a, b), "the platform's limit for headers")
+	o, n := c.old.Config, c.next.Config
+	if a, b := o.MaxHeaderBytes, n.MaxHeaderBytes; a != b {
+		c.add(pick(b < a, Warning, Info), c.next.locate(General, 0, MaxHeaderBytes), generalEntry, from(a, b),
+			pick(b == 0, "the default limit holds for request heads", fmt.Sprintf("request heads with more than %d bytes are refused", b)))
+	}
+	if a, b := o.HeaderTimeout, n.HeaderTimeout; a != b {
+		c.add(Info, c.next.locate(General, 0, HeaderTimeout), generalEntry, from(a, b), "requests whose heads take longer are refused")
+	}
+	if a, b := o.IdleTimeout, n.IdleTimeout; a != b {
+		c.add(Info, c.next.locate(General, 0, IdleTimeout), generalEntry, from(a, b), "connections that are idle for longer are closed")
 	}
 }
 
--- a/lint/lint.go
+++ b/lint/lint.go
@@ -62,6 +62,8 @@
 	Guarantee      Field = "guaranteed_accelerators"
 	MaxBodyBytes   Field = "max_body_bytes"
 	MaxHeaderBytes Field = "max_header_bytes"
+	HeaderTimeout  Field = "header_timeout"
+	IdleTimeout    Field = "idle_timeout"
 	Version        Field = "version"
 )
 
@@ -70,8 +72,6 @@
 	Config *policy.Config
 	// Services are the names of the services, nil if the configuration does not list them.
 	Services []string
-	// MaxHeaderBytes is the limit of a request's header, 0 if there is none.
-	MaxHeaderBytes int64
 	// Locate returns where a field of an entry is written. If it is nil, the names of this
 	// package are used.
 	Locate func(s Section, index int, f Field) string
--- a/lint/lint_test.go
+++ b/lint/lint_test.go
@@ -36,10 +36,10 @@
 				{Name: "a", APIKeys: []string{"secret-1"}, GuaranteedAccelerators: 8},
 				{Name: "b", APIKeys: []string{"secret-2", "secret-3"}},
 			},
-			MaxBodyBytes: 262144,
+			MaxBodyBytes:   262144,
+			MaxHeaderBytes: 16384,
 		},
-		Services:       []string{"svc", "other"},
-		MaxHeaderBytes: 16384,
+		Services: []string{"svc", "other"},
 	}
 }
 
@@ -108,7 +108,7 @@
 		{"no customers", func(d *lint.Document) { d.Config.Customers = nil }, "warning "},
 		{"no customers, public queue", func(d *lint.Document) { d.Config.Customers, d.Config.Queues[0].Public = nil, true }, ""},
 		{"body limit negative", func(d *lint.Document) { d.Config.MaxBodyBytes = -1 }, "error max_body_bytes"},
-		{"header limit above body limit", func(d *lint.Document) { d.MaxHeaderBytes = 262145 }, "warning max_header_bytes"},
+		{"header limit above body limit", func(d *lint.Document) { d.Config.MaxHeaderBytes = 262145 }, "warning max_header_bytes"},
 		{"body limit by default", func(d *lint.Document) { d.Config.MaxBodyBytes = 0 }, ""},
 	}
 	for _, v := range cases {
@@ -149,8 +149,8 @@
 	}
 }
 
-// TestReports compares whole reports with golden files, which -update rewrites. No report may show
-// a key.
+// TestReports guards against a finding or a change that is lost or reworded by mistake, and against
+// a report that shows a key; -update rewrites the golden files.
 func TestReports(t *testing.T) {
 	cases := []struct {
 		name string
@@ -183,7 +183,7 @@
 			d.Config.Customers[0].GuaranteedAccelerators = 4
 			d.Config.Customers[1].GuaranteedAccelerators = 20
 			d.Config.MaxBodyBytes = 1024
-			d.MaxHeaderBytes = 2048
+			d.Config.MaxHeaderBytes = 2048
 		}},
 		{"added", func(d *lint.Document) {
 			d.Config.Version = 4
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -38,6 +38,7 @@
 	workerCrashes     prometheus.Counter
 	heartbeatsRefused prometheus.Counter
 	workerSpeed       *prometheus.GaugeVec
+	workerUncertainty *prometheus.GaugeVec
 	clientsRefused    *prometheus.CounterVec
 	held              *heldCollector
 }
@@ -82,8 +83,13 @@
 		workerSpeed: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace,
 			Name:      "worker_speed",
-			Help:      "Estimated speed of a worker, 1 for a normal one, and the uncertainty of its logarithm.",
-		}, []string{"agent", "value"}),
+			Help:      "Estimated speed of a worker, 1 for a normal one.",
+		}, []string{"agent"}),
+		workerUncertainty: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace,
+			Name:      "worker_speed_uncertainty",
+			Help:      "Standard deviation of the logarithm of a worker's estimated speed.",
+		}, []string{"agent"}),
 		linesDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "log_lines_dropped_total",
@@ -96,7 +102,7 @@
 		}, []string{"cause"}),
 		held: newHeldCollector(),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.workerSpeed, m.clientsRefused, m.held)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.workerSpeed, m.workerUncertainty, m.clientsRefused, m.held)
 	return m
 }
 
@@ -236,7 +242,23 @@
 // WorkerSpeed records the estimated speed of the worker of an agent.
 func (m *Meter) WorkerSpeed(agent string, factor, uncertainty float64) {
 	if m != nil {
-		m.workerSpeed.WithLabelValues(agent, "factor").Set(factor)
-		m.workerSpeed.WithLabelValues(agent, "uncertainty").Set(uncertainty)
+		m.workerSpeed.WithLabelValues(agent).Set(factor)
+		m.workerUncertainty.WithLabelValues(agent).Set(uncertainty)
+	}
+}
+
+// ForgetWorkerSpeed removes the speed of the worker of an agent that is gone.
+func (m *Meter) ForgetWorkerSpeed(agent string) {
+	if m != nil {
+		m.workerSpeed.DeleteLabelValues(agent)
+		m.workerUncertainty.DeleteLabelValues(agent)
+	}
+}
+
+// ForgetWorkerSpeeds removes all speeds, since only the scheduler exports them.
+func (m *Meter) ForgetWorkerSpeeds() {
+	if m != nil {
+		m.workerSpeed.Reset()
+		m.workerUncertainty.Reset()
 	}
 }
--- a/order/forecast.go
+++ b/order/forecast.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// certainty divides work and run times for the earliest begin: estimates with a
-	// log-normal error of sigma 0.9 are at most 4 times too long in 94% of the cases.
+	// certainty divides work and run times for the earliest begin: estimates
+	// may be several times too long, and a job that might be served must not be rejected.
 	certainty = 4.0
 	// maxForecastAge is the age of figures above which every job is accepted.
 	maxForecastAge = 2 * time.Second
--- a/order/item.go
+++ b/order/item.go
@@ -38,6 +38,9 @@
 	// that has not been done.
 	Work float64
 	Left float64
+	// Reserved means that capacity is withheld for the unit until others have stopped. If it
+	// moved back, others would take that capacity, and more would be stopped.
+	Reserved bool
 	// Overtaken is how many younger jobs of its queue began while the unit waited.
 	Overtaken int
 }
@@ -45,8 +48,8 @@
 const (
 	// lateFactor times the objective is the latest end at which a result has value.
 	lateFactor = 3
-	// lateShare is the share of its value that a late result still has. How much a late result
-	// is worth differs between callers; a half takes no side.
+	// lateShare is the share of its value that a late result still has. How much that is
+	// differs between callers, so it is an assumption.
 	lateShare = 0.5
 	// fixedShare is the part of a job's value that does not depend on its work: a caller waits
 	// for the result of a small job as for that of a large one. The rest is in proportion to
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// TestRank guards against each way in which units that lose little by waiting are served before
-// units that lose much, and against one that is put behind units which today's order puts
-// behind it. The items of each case are listed by their expected rank.
+// TestRank guards against units that lose little by waiting and are served before units that lose
+// much, and against a unit that is put behind others of a lower class only because it is large. The
+// items of each case are listed by their expected rank.
 func TestRank(t *testing.T) {
 	cases := []struct {
 		name  string
--- a/order/policy.go
+++ b/order/policy.go
@@ -13,9 +13,8 @@
 	// firstOrdinal is the rank of the first unit that is not guaranteed. It is far above
 	// any age, which is the rank of guaranteed units.
 	firstOrdinal = 1e12
-	// MaxOvertaken is how many younger jobs of its queue may overtake a unit. It then ranks before
-	// all others of its class.
-	MaxOvertaken = 50
+	// maxOvertaken is how many younger jobs of its queue may overtake a unit.
+	maxOvertaken = 50
 	// urgencyFactor times its objective is the slack with which a unit counts half as much
 	// as one without slack.
 	urgencyFactor = 4.0
@@ -27,7 +26,7 @@
 
 // Bands of a class, the first one first. Units are compared by score within a band only.
 const (
-	// aged units have been overtaken MaxOvertaken times.
+	// aged units come first: they have been overtaken maxOvertaken times, or are reserved.
 	aged = iota
 	onTime
 	// yielding are the last on-time units of a class if they are patient, beside the
@@ -96,7 +95,7 @@
 	switch {
 	case i.lateSlack() < 0:
 		return overdueBands + i.Class
-	case i.Overtaken >= MaxOvertaken:
+	case i.first():
 		return c + aged
 	case i.slack() < 0:
 		return c + late
@@ -104,9 +103,12 @@
 	return c + onTime
 }
 
+// first reports whether the unit comes before the others of its class.
+func (i *Item) first() bool { return i.Reserved || i.Overtaken >= maxOvertaken }
+
 // score returns the value per core-second that is about to be lost. It is 0 where age decides.
 func (i *Item) score(mean float64) float64 {
-	if i.Overtaken >= MaxOvertaken || i.lateSlack() < 0 {
+	if i.first() || i.lateSlack() < 0 {
 		return 0
 	}
 	s := i.slack()
--- a/order/share.go
+++ b/order/share.go
@@ -7,7 +7,7 @@
 }
 
 // shares tells which customers have more than their fair share of a class, and the mean work
-// of the queues' jobs.
+// of the jobs of the units of each queue, so that jobs with many waiting tasks weigh more.
 type shares struct {
 	held map[holder]float64
 	fair map[int]float64
--- a/speed/density.go
+++ b/speed/density.go
@@ -31,7 +31,7 @@
 	var s float64
 	for i := range d.initial {
 		x := gridMin + gridStep*float64(i)
-		d.initial[i] = math.Exp(-x * x / (2 * priorSpread))
+		d.initial[i] = math.Exp(-x * x / (2 * priorVariance))
 		s += d.initial[i]
 	}
 	for i := range d.initial {
@@ -47,7 +47,7 @@
 	d.posterior(normal{
 		mean:      math.Log(v.Factor),
 		precision: 1 / u,
-	}, max(1-u/priorSpread, 0))
+	}, max(1-u/priorVariance, 0))
 }
 
 // posterior returns the mean and the variance of the logarithm of a worker's speed,
--- a/speed/fit.go
+++ b/speed/fit.go
@@ -9,8 +9,7 @@
 // Constants of the model; variances are of logarithms.
 const (
 	// sweeps is the number of passes over all parameters. Each update begins with the
-	// result of the one before, so a few are enough. With 4, 13% of equal workers were
-	// off by over 10% after a first update with 1.2 runs each; with 6, 6%.
+	// result of the one before, so a few are enough.
 	sweeps = 6
 	// noise is the variance among the tasks of a step at equal speed; their standard
 	// deviation is between 0.15 and 0.3.
@@ -19,18 +18,17 @@
 	partialNoise = 0.15 * 0.15
 	// cellNoise is the variance that samples in one cell have in common.
 	cellNoise = 0.1 * 0.1
-	// stepSpread is the variance of the ratio of run times to estimates among the
+	// stepVariance is the variance of the ratio of run times to estimates among the
 	// steps of a queue; its standard deviation is between 0.5 and 0.9.
-	stepSpread = 0.7 * 0.7
+	stepVariance = 0.7 * 0.7
 	// ratioPrecision is the precision of the prior that estimates are right on average.
 	ratioPrecision = 1 / (0.5 * 0.5)
-	// priorSpread is the variance of the workers' speeds that is assumed at first.
-	// With 0.25 instead of 0.2, three times as many equal workers were off by over 10%
-	// after the first update.
-	priorSpread = 0.2 * 0.2
+	// priorVariance is the variance of the workers' speeds that is assumed at first. It is
+	// small, so that equal workers are not mistaken for unequal ones by their first runs.
+	priorVariance = 0.2 * 0.2
 	// freedom is the number of degrees of freedom of Student's t distribution, which
 	// noise, bases and restored values are taken to have, because its long tails make
-	// the estimates robust. With 3, more estimates followed a temporary slowdown.
+	// the estimates robust against temporary slowdowns.
 	freedom = 2
 	// shareScale is the difference of logarithms of speed by which a member of a gang
 	// is e times less likely to be the slowest.
@@ -133,9 +131,9 @@
 // base returns the base of the step from its queue and from its cells except one.
 func (t *step) base(except normal) normal {
 	q := t.queue.ratio
-	r := 1 / stepSpread
+	r := 1 / stepVariance
 	if q.precision > 0 {
-		r = 1 / (stepSpread + 1/q.precision)
+		r = 1 / (stepVariance + 1/q.precision)
 	}
 	p := r + t.sum.precision - except.precision
 	return normal{
@@ -164,7 +162,7 @@
 			continue
 		}
 		d := t.sum.base/t.sum.precision - t.estimate
-		v := stepSpread + 1/t.sum.precision
+		v := stepVariance + 1/t.sum.precision
 		r := robustWeight(d-q.ratio.mean, v) / v
 		s += r * d
 		p += r
@@ -212,7 +210,7 @@
 
 // weight returns how much the worker's samples of single tasks say of its speed, from
 // 0 to 1.
-func (w *worker) weight() float64 { return w.singles / (w.singles + 1/priorSpread) }
+func (w *worker) weight() float64 { return w.singles / (w.singles + 1/priorVariance) }
 
 // updateCenter determines normal speed: the median of the workers, as far as restored
 // values do not determine it already.
--- a/speed/model.go
+++ b/speed/model.go
@@ -171,7 +171,7 @@
 // addWorker adds a worker with its prior.
 func (f *fit) addWorker(name string) *worker {
 	w := &worker{
-		variance: priorSpread,
+		variance: priorVariance,
 	}
 	v, ok := f.priors[name]
 	if ok {
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -47,12 +47,23 @@
 // Restart begins a new incarnation of a worker: its estimate becomes prior knowledge
 // with more uncertainty, and its samples are discarded.
 func (e *Estimator) Restart(worker string) {
+	if !e.knows(worker) {
+		e.Forget(worker)
+		return
+	}
 	v := e.Speed(worker)
 	v.Uncertainty = min(math.Hypot(v.Uncertainty, restartUncertainty), unknownUncertainty)
 	e.Forget(worker)
 	e.Restore(worker, v)
 }
 
+// knows reports whether there is an estimate or prior knowledge of a worker.
+func (e *Estimator) knows(worker string) bool {
+	_, estimated := e.speeds[worker]
+	_, restored := e.priors[worker]
+	return estimated || restored
+}
+
 // Forget discards all that is known of a worker.
 func (e *Estimator) Forget(worker string) {
 	e.samples.forget(worker)
