Preemption budget by gang or task

Cause: the budget of a job counted each stopped member, so a gang of two had used it up with one stop, and a step of 39 tasks with two. Found by reading, while tracing why work is thrown away. Change: stops are counted for each gang or single task.

--- a/alloc/preempt.go
+++ b/alloc/preempt.go
@@ -17,8 +17,8 @@
 	Borrowed bool
 	// NonPreemptible groups are never preempted.
 	NonPreemptible bool
-	// BudgetUsed is set if the job of the group was preempted as often as units without a
-	// guarantee may do.
+	// BudgetUsed is set if the group was preempted as often as units without a guarantee may
+	// do.
 	BudgetUsed bool
 	// Service, Step and Tasks tell what it takes to start the group elsewhere.
 	Service string
--- a/leader/contention_test.go
+++ b/leader/contention_test.go
@@ -96,3 +96,18 @@
 		t.Errorf("ranks are %v; the customer without runs should be first", ranks)
 	}
 }
+
+// TestGroupPreemptions guards against a budget that a gang uses up with one stop, since each of its
+// members is stopped, and a step with one of its many tasks.
+func TestGroupPreemptions(t *testing.T) {
+	j := newJob(&graph.Job{ID: "j", Steps: []graph.Step{{Count: 3, Gang: true}, {Count: 3}}}, 1)
+	for step := range j.Steps {
+		for i := range 3 {
+			j.countGroupPreemption(graph.Task{Job: j.ID, Step: step, Index: i})
+		}
+	}
+	gang, single := graph.Task{Job: j.ID}, graph.Task{Job: j.ID, Step: 1, Index: 2}
+	if j.groupPreemptions[gang] != 1 || j.groupPreemptions[single] != 1 || len(j.groupPreemptions) != 4 {
+		t.Errorf("preemptions are %v", j.groupPreemptions)
+	}
+}
--- a/leader/job.go
+++ b/leader/job.go
@@ -36,6 +36,9 @@
 	// withinGuarantee means that the job is covered by its customer's guarantee.
 	withinGuarantee bool
 	preemptions     int
+	// groupPreemptions counts the preemptions of each gang, by its first task, and of each other
+	// task.
+	groupPreemptions map[graph.Task]int
 	// overtaken is how many younger jobs of the queue have started while this one waited.
 	overtaken int
 	// lastActive is when the job last had a run.
--- a/leader/order.go
+++ b/leader/order.go
@@ -250,7 +250,7 @@
 			Borrowed:       !j.withinGuarantee,
 			RemainingKnown: true,
 			NonPreemptible: s.LongRunning,
-			BudgetUsed:     g.term.keepsRoom && j.preemptions >= order.MaxPreemptions,
+			BudgetUsed:     g.term.keepsRoom && j.groupPreemptions[k] >= order.MaxPreemptions,
 			Service:        j.Service,
 			Step:           s,
 		})
--- a/leader/stop.go
+++ b/leader/stop.go
@@ -61,6 +61,7 @@
 func (t *term) preempt(r *run, u *alloc.Unit, now time.Time) {
 	j := t.jobs[r.task.Job]
 	j.preemptions++
+	j.countGroupPreemption(r.task)
 	t.leader.ports.Meter.Preempted()
 	r.stopping = true
 	t.log.WithFields(r.logFields(now)).WithFields(logrus.Fields{
@@ -71,6 +72,17 @@
 	t.stopRun(r, now)
 }
 
+// countGroupPreemption counts the preemption of a run for its group, that of a gang once.
+func (j *job) countGroupPreemption(k graph.Task) {
+	if j.Steps[k.Step].Gang && k.Index > 0 {
+		return
+	}
+	if j.groupPreemptions == nil {
+		j.groupPreemptions = map[graph.Task]int{}
+	}
+	j.groupPreemptions[k]++
+}
+
 // vacate stops a run because a worker of its group leaves before it ends.
 func (t *term) vacate(r *run, now time.Time) {
 	t.log.WithFields(r.logFields(now)).WithField("leaves_in_ms", r.agent.leavesAt.Sub(now).Milliseconds()).Info("run_vacated")
--- a/order/preempt.go
+++ b/order/preempt.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// MaxPreemptions is the preemption budget of a job: how often it may be stopped for units
-// that are not guaranteed. It bounds how often jobs stop each other in turn.
+// MaxPreemptions is the preemption budget of a gang or single task: how often it may be stopped for
+// units that are not guaranteed. It bounds how often jobs stop each other in turn.
 const MaxPreemptions = 2
 
 // Stop is a running group that would be stopped for a unit.
@@ -13,7 +13,7 @@
 	Item Item
 	// Unsaved is the work of the group in core-seconds that a stop loses.
 	Unsaved float64
-	// Preemptions is how often the job has been stopped already.
+	// Preemptions is how often the group has been stopped already.
 	Preemptions int
 }
 
