Platform names in a test move to platform/testdata; one constant for the end of a result's value

Cause: cmd/hemlockhinge/check_test.go spelled the platform's configuration, whose names only platform/ knows; order repeated the factor by which alloc calls a result worthless; alloc's cached plans called slack what is the time to wait for ends since EndWait came.

Change: the configurations and the expected location are files below platform/testdata, the assertions as they were; order uses alloc.TardyFactor; the fields are named endWait. Nothing decides differently.

--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -30,11 +30,11 @@
 	size  graph.Size
 }
 
-// cachedOptions are the options for units of one kind that wait equally long for ends. Each is valid while its
-// worker has not changed.
+// cachedOptions are the options for units of one kind that wait equally long for ends. Each is valid
+// while its worker has not changed.
 type cachedOptions struct {
 	kind    preemptionKind
-	slack   time.Duration
+	endWait time.Duration
 	options []option
 }
 
@@ -45,11 +45,11 @@
 	withinGuarantee bool
 }
 
-// failedPreemption is the time to wait for ends and the work of a unit for which no acceptable plan was
+// failedPreemption is how long a unit waits for ends, and its work, where no acceptable plan was
 // found. A unit of the same kind with no more of either has none either.
 type failedPreemption struct {
-	slack time.Duration
-	work  float64
+	endWait time.Duration
+	work    float64
 }
 
 func newPreemptor(w []Worker, g []Group) *preemptor {
@@ -90,15 +90,15 @@
 		return false
 	}
 	return slices.ContainsFunc(p.failed[kindOf(u)], func(f failedPreemption) bool {
-		return u.endWait() <= f.slack && u.Work <= f.work
+		return u.endWait() <= f.endWait && u.Work <= f.work
 	})
 }
 
 func (p *preemptor) recordFailure(u *Unit) {
 	k := kindOf(u)
 	p.failed[k] = append(p.failed[k], failedPreemption{
-		slack: u.endWait(),
-		work:  u.Work,
+		endWait: u.endWait(),
+		work:    u.Work,
 	})
 }
 
@@ -151,10 +151,10 @@
 	if u.boundToWorkers() {
 		return p.allOptions(u)
 	}
-	if k := kindOf(u); p.last.options == nil || k != p.last.kind || u.endWait() != p.last.slack {
+	if k := kindOf(u); p.last.options == nil || k != p.last.kind || u.endWait() != p.last.endWait {
 		p.last = cachedOptions{
 			kind:    k,
-			slack:   u.endWait(),
+			endWait: u.endWait(),
 			options: p.allOptions(u),
 		}
 		return p.last.options
--- a/cmd/hemlockhinge/check_test.go
+++ b/cmd/hemlockhinge/check_test.go
@@ -14,19 +14,23 @@
 	"hemlockhinge/lint"
 )
 
-const (
-	soundConfig = `{"Version":1,"Routes":[{"Name":"q","Host":"h","Prefix":"/q/","Service":"s","Priority":1,"MaxAttempts":3,"SlackFactor":3}],
-		"Services":[{"Name":"s"}],"Tenants":[{"Name":"c","ApiKeys":["k"]}]}`
-	warnedConfig  = `{"Version":2,"Routes":[{"Name":"q","Host":"h","Prefix":"/q","Service":"s","Priority":1,"MaxAttempts":3,"SlackFactor":3}],"Tenants":[{"Name":"c","ApiKeys":["k"]}]}`
-	invalidConfig = `{"Routes":[{"Name":"q","Host":"h","Prefix":"/q/"}]}`
-)
+// testConfig returns a configuration of the users' platform, whose format only package platform
+// knows.
+func testConfig(t *testing.T, name string) []byte {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join("../../platform/testdata", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
 
 // TestCheckStatus guards against a check that a script takes for passed: an error must give status
 // 2, and with --strict a warning 1.
 func TestCheckStatus(t *testing.T) {
 	dir := t.TempDir()
-	for n, s := range map[string]string{"sound": soundConfig, "warned": warnedConfig, "invalid": invalidConfig, "broken": "{"} {
-		if err := os.WriteFile(filepath.Join(dir, n), []byte(s), 0o600); err != nil {
+	for _, n := range []string{"sound", "warned", "invalid", "broken"} {
+		if err := os.WriteFile(filepath.Join(dir, n), testConfig(t, "check_"+n+".json"), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -75,7 +79,7 @@
 // TestCheckJSON guards against a report that scripts cannot read.
 func TestCheckJSON(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config")
-	if err := os.WriteFile(path, []byte(warnedConfig), 0o600); err != nil {
+	if err := os.WriteFile(path, testConfig(t, "check_warned.json"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	o := checkOptions{
@@ -93,7 +97,8 @@
 	if err := json.Unmarshal(b.Bytes(), &r); err != nil {
 		t.Fatal(err)
 	}
-	if len(r.Findings) != 1 || r.Findings[0].Location != "Routes[0].Prefix" || r.Changes != nil {
+	location := strings.TrimSpace(string(testConfig(t, "check_warned_location.txt")))
+	if len(r.Findings) != 1 || r.Findings[0].Location != location || r.Changes != nil {
 		t.Errorf("report %+v", r)
 	}
 	b.Reset()
--- a/order/forecast.go
+++ b/order/forecast.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"hemlockhinge/alloc"
 )
 
 const (
@@ -54,7 +56,7 @@
 	ahead := f.ahead(i)
 	v.Expected = f.begin(i, ahead, 1)
 	v.Earliest = f.begin(i, ahead, certainty)
-	latest := lateFactor*i.Objective - i.Waited
+	latest := alloc.TardyFactor*i.Objective - i.Waited
 	if i.Guaranteed || i.Objective <= 0 || f.Capacity <= 0 || v.Earliest <= latest {
 		return v
 	}
--- a/order/item.go
+++ b/order/item.go
@@ -11,6 +11,8 @@
 import (
 	"math"
 	"time"
+
+	"hemlockhinge/alloc"
 )
 
 // Item is a unit that waits, or the running part of a job.
@@ -46,8 +48,6 @@
 }
 
 const (
-	// lateFactor times the objective is the latest end at which a result has value.
-	lateFactor = 3
 	// lateShare is the share of its value that a late result still has. How much that is
 	// differs between callers, so it is an assumption.
 	lateShare = 0.5
@@ -70,7 +70,7 @@
 
 // lateSlack returns how long the unit can wait until its result has no value.
 func (i *Item) lateSlack() time.Duration {
-	return lateFactor*i.Objective - i.Waited - i.Remaining
+	return alloc.TardyFactor*i.Objective - i.Waited - i.Remaining
 }
 
 // value returns what the result is worth on time, in weighted core-seconds, for the mean
