One place restores a stored speed, and one begins an attempt to place a unit

Cause: a stored speed was given to the estimator in two places, before and after the agents' first reports; Decide repeated the rule of pass.limit for the first attempt. Change: restoreSpeed and pass.limit serve both. Nothing decides differently.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -193,8 +193,8 @@
 	for i := range u {
 		v := &u[i]
 		starved := lightlyLoaded[v.Service] && v.IdleTime >= maxStarvedTime
-		s.prepare(v)
-		v.extraOnly = !starved && !c.backfill.endsBeforeReservations(w, v)
+		s.setNeededSpeed(v)
+		c.limit(v, speedLimit{}, starved)
 		v.admitsOutliers = o.admitted(w, v, starved)
 		if l, ok := s.fastLimit(v); ok {
 			c.limit(v, l, starved)
--- a/alloc/speed.go
+++ b/alloc/speed.go
@@ -109,9 +109,8 @@
 	return s
 }
 
-// prepare resets the limit of a unit and sets the speed that it needs.
-func (s *speeds) prepare(u *Unit) {
-	u.limit = speedLimit{}
+// setNeededSpeed sets the speed above which workers are wasted on a unit.
+func (s *speeds) setNeededSpeed(u *Unit) {
 	u.neededSpeed = u.MinSpeed
 	if u.neededSpeed == 0 {
 		u.neededSpeed = s.slowest[u.Service]
--- a/leader/speeds.go
+++ b/leader/speeds.go
@@ -74,10 +74,7 @@
 	v := t.speedsOf(next.Service)
 	v.changed = true
 	if m.worker.Born == 0 {
-		if o, ok := t.storedSpeeds[m.addr]; ok && o.Machine == machineOf(next) {
-			v.estimator.Restore(m.addr, o.speed())
-			v.uneven = true
-		}
+		t.restoreSpeed(m.addr, next)
 		return
 	}
 	if machineOf(m.worker) == machineOf(next) {
--- a/leader/storespeeds.go
+++ b/leader/storespeeds.go
@@ -78,17 +78,26 @@
 	defer t.mu.Unlock()
 	t.storedSpeeds = l
 	for a, m := range t.agents {
-		if o, ok := l[a]; ok && m.worker.Born != 0 && o.Machine == machineOf(m.worker) {
-			v := t.speedsOf(m.worker.Service)
-			v.estimator.Restore(a, o.speed())
-			v.uneven = true
-			v.changed = true
+		if m.worker.Born != 0 {
+			t.restoreSpeed(a, m.worker)
 		}
 	}
 	t.log.WithField("workers", len(l)).Info("speeds_restored")
 	return true
 }
 
+// restoreSpeed gives the estimator the stored speed of a worker, if that is of the same machine.
+func (t *term) restoreSpeed(agent string, w wire.WorkerInfo) {
+	o, ok := t.storedSpeeds[agent]
+	if !ok || o.Machine != machineOf(w) {
+		return
+	}
+	v := t.speedsOf(w.Service)
+	v.estimator.Restore(agent, o.speed())
+	v.uneven = true
+	v.changed = true
+}
+
 // storeSpeeds stores the speeds of uneven services, on condition that this term still holds the
 // role. A write that failed is repeated by the next call.
 func (t *term) storeSpeeds(c context.Context) {
