--- /dev/null
+++ b/review/rig/cases.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// Names of the jobs.
+const (
+	jobID  = "5c0e7a21d94b36f8"
+	taskID = jobID + ".0.0.0"
+)
+
+// crashLoop lets one worker of ten go down and up three times within 6.5 s, and asks what becomes
+// of a job whose only task needs that worker's rack.
+func crashLoop(r *rig) (bool, error) {
+	const (
+		upTime   = 500 * time.Millisecond
+		downTime = 1400 * time.Millisecond
+		crashes  = 3
+	)
+	r.taskLength = 8 * time.Second
+	if err := r.deploy(); err != nil {
+		return false, err
+	}
+	last := r.workers[workerCount-1]
+	if err := r.submit(map[string]any{"Count": 1, "Cpu": 7500, "MemMb": 1024, "Gpu": 2, "EstimateMs": 8000, "RequiredLabel": last.rack}); err != nil {
+		return false, err
+	}
+	if _, err := r.waitRun(startTimeout); err != nil {
+		return false, err
+	}
+	for i := range crashes {
+		if !r.trouble {
+			break
+		}
+		time.Sleep(upTime)
+		last.stop("crashes")
+		time.Sleep(downTime)
+		if err := last.start(); err != nil {
+			return false, err
+		}
+		if i < crashes-1 {
+			_, _ = r.waitRun(upTime)
+		}
+	}
+	s := r.waitState()
+	_, failed := r.counts()
+	r.note("the job is shown as %s; %d runs have ended failed, MaxAttempts is 4", s, failed)
+	return s == "failed" && failed == 0, nil
+}
+
+// lateLeave lets a worker leave and start again under its id while a cut holds up its
+// deregistration, which arrives after the new incarnation has begun to work.
+func lateLeave(r *rig) (bool, error) {
+	const (
+		endsAnyway = 2 * time.Second
+		restart    = 1100 * time.Millisecond
+		// A TCP sender without answers sends again 0.2, 0.6, 1.4, 3.0 and 6.2 s after the first
+		// time: the cut ends after the fourth, and new connections are faster than the fifth.
+		retransmit = 3100 * time.Millisecond
+		drainTime  = 2 * time.Second
+	)
+	r.taskLength = 8 * time.Second
+	if err := r.deploy(); err != nil {
+		return false, err
+	}
+	w := r.workers[0]
+	p, err := newProxy(r, r.addr(proxyHost, controlPort), w.agent)
+	if err != nil {
+		return false, err
+	}
+	defer p.close()
+	w.setAgent(p.addr())
+	if !w.drain(drainTime) {
+		r.note("the heartbeat that says draining has no answer")
+	}
+	r.note("worker-1 says that it drains")
+	time.Sleep(drainTime)
+	if r.trouble {
+		p.cut()
+	}
+	w.deregister(endsAnyway)
+	w.stop("ends")
+	time.Sleep(restart)
+	if r.trouble {
+		p.heal(retransmit)
+	}
+	if err := w.start(); err != nil {
+		return false, err
+	}
+	time.Sleep(200 * time.Millisecond)
+	if err := r.submit(map[string]any{"Count": 1, "Cpu": 7500, "MemMb": 1024, "Gpu": 2, "EstimateMs": 8000}); err != nil {
+		return false, err
+	}
+	v, err := r.waitRun(startTimeout)
+	if err != nil {
+		return false, err
+	}
+	if v != w {
+		return false, fmt.Errorf("the task runs at %s, not at %s", v.name, w.name)
+	}
+	s := r.waitState()
+	twice, _ := r.counts()
+	r.note("the job is shown as %s; a task was started beside a run of its own %d times", s, twice)
+	return twice > 0, nil
+}
+
+// unansweredLeave cuts the direction from an agent to its worker while the worker drains: the
+// deregistration arrives, its answer does not, and the worker ends some seconds later.
+func unansweredLeave(r *rig) (bool, error) {
+	const (
+		beforeCut  = 300 * time.Millisecond
+		drainTime  = 2 * time.Second
+		endsAnyway = 2 * time.Second
+	)
+	r.taskLength = 12 * time.Second
+	r.checkpoints = true
+	if err := r.deploy(); err != nil {
+		return false, err
+	}
+	if err := r.submit(map[string]any{"Count": 1, "Cpu": 7500, "MemMb": 1024, "Gpu": 2, "EstimateMs": 12000, "Checkpointing": true}); err != nil {
+		return false, err
+	}
+	w, err := r.waitRun(startTimeout)
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(time.Second)
+	if !w.drain(drainTime) {
+		r.note("the heartbeat that says draining has no answer")
+	}
+	r.note("%s says that it drains, and is acknowledged", w.name)
+	time.Sleep(beforeCut)
+	if r.trouble {
+		r.note("a cut begins: nothing from side to %s arrives", w.name)
+		w.setMute(true)
+	}
+	time.Sleep(drainTime - beforeCut)
+	if w.deregister(time.Second) == 0 {
+		time.Sleep(endsAnyway)
+	}
+	w.stop("ends")
+	s := r.waitState()
+	twice, _ := r.counts()
+	r.note("the job is shown as %s; a task was started beside a run of its own %d times", s, twice)
+	return twice > 0, nil
+}
+
+// lastingCrash lets one worker of ten go down and up twice, and asks how long the tasks of a
+// lasting job stand still that need that worker's rack, once all is calm.
+func lastingCrash(r *rig) (bool, error) {
+	const (
+		tasks    = 12
+		upTime   = 500 * time.Millisecond
+		downTime = 1400 * time.Millisecond
+		crashes  = 2
+		// restTime is from when on a task that lasts must run again, and calmTime how long all
+		// must have been calm then; stillTime is how long it may stand still.
+		restTime  = 6 * time.Second
+		calmTime  = 4 * time.Second
+		stillTime = 3 * time.Second
+	)
+	r.taskLength = time.Second
+	r.lasting = true
+	if err := r.deploy(); err != nil {
+		return false, err
+	}
+	last := r.workers[workerCount-1]
+	if err := r.submit(map[string]any{"Count": tasks, "Cpu": 1000, "MemMb": 1024, "EstimateMs": 1000, "RequiredLabel": last.rack, "LongRunning": true}); err != nil {
+		return false, err
+	}
+	if _, err := r.waitRun(startTimeout); err != nil {
+		return false, err
+	}
+	for i := range crashes {
+		if !r.trouble {
+			break
+		}
+		time.Sleep(upTime)
+		last.stop("crashes")
+		time.Sleep(downTime)
+		if err := last.start(); err != nil {
+			return false, err
+		}
+		if i < crashes-1 {
+			_, _ = r.waitRun(upTime)
+		}
+	}
+	begun := time.Now()
+	r.note("from now on all is calm")
+	for last := -1; time.Since(begun) < patience; time.Sleep(pollPause) {
+		if n := r.running(); n != last {
+			r.note("%d of %d tasks run", n, tasks)
+			last = n
+		}
+		if last == tasks {
+			break
+		}
+	}
+	d := time.Since(begun)
+	r.note("all tasks ran, or the time was over, %.1f s after the last disruption", d.Seconds())
+	return d > max(restTime, calmTime)+stillTime, nil
+}
