--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -106,13 +107,20 @@
 	return twice > 0, nil
 }
 
-// unansweredLeave cuts the direction from an agent to its worker while the worker drains: the
-// deregistration arrives, its answer does not, and the worker ends some seconds later.
+// unansweredLeave stops the agent beside a worker that leaves for 2 s: the deregistration is read
+// once the agent goes on, when nobody waits for the answer any more, and the worker ends some
+// seconds after it has sent it.
 func unansweredLeave(r *rig) (bool, error) {
 	const (
-		beforeCut  = 300 * time.Millisecond
-		drainTime  = 2 * time.Second
-		endsAnyway = 2 * time.Second
+		drainTime = 2 * time.Second
+		// The agent stands still from shortly after the worker's last heartbeat, which is the one
+		// after the first that says draining, until the worker waits no more for the answer to its
+		// deregistration.
+		lastBeat      = time.Second
+		beforeFreeze  = 50 * time.Millisecond
+		answerTimeout = time.Second
+		freezeTime    = drainTime - lastBeat + answerTimeout
+		endsAnyway    = 3 * time.Second
 	)
 	r.taskLength = 12 * time.Second
 	r.checkpoints = true
@@ -126,19 +134,22 @@
 	if err != nil {
 		return false, err
 	}
-	time.Sleep(time.Second)
+	time.Sleep(w.untilBeat() + heartbeatInterval - lastBeat)
 	if !w.drain(drainTime) {
-		r.note("the heartbeat that says draining has no answer")
+		return false, errors.New("the heartbeat that says draining has no answer")
 	}
+	drained := time.Now()
 	r.note("%s says that it drains, and is acknowledged", w.name)
-	time.Sleep(beforeCut)
+	time.Sleep(lastBeat + beforeFreeze)
 	if r.trouble {
-		r.note("a cut begins: nothing from side to %s arrives", w.name)
-		w.setMute(true)
+		if err := r.freeze(w, freezeTime); err != nil {
+			return false, err
+		}
 	}
-	time.Sleep(drainTime - beforeCut)
-	if w.deregister(time.Second) == 0 {
-		time.Sleep(endsAnyway)
+	time.Sleep(time.Until(drained.Add(drainTime)))
+	sent := time.Now()
+	if w.deregister(answerTimeout) == 0 {
+		time.Sleep(time.Until(sent.Add(endsAnyway)))
 	}
 	w.stop("ends")
 	s := r.waitState()
@@ -202,3 +213,38 @@
 	r.note("all tasks ran, or the time was over, %.1f s after the last disruption", d.Seconds())
 	return d > max(restTime, calmTime)+stillTime, nil
 }
+
+// foreignAck lets a worker crash under a task and start again under its id, and asks how often the
+// task is done.
+func foreignAck(r *rig) (bool, error) {
+	const (
+		tasks    = 8
+		upTime   = 1200 * time.Millisecond
+		downTime = 1400 * time.Millisecond
+	)
+	r.taskLength = 3 * time.Second
+	r.firstBeat = 300 * time.Millisecond
+	if err := r.deploy(); err != nil {
+		return false, err
+	}
+	last := r.workers[workerCount-1]
+	step := map[string]any{"Count": tasks, "Cpu": 16000, "MemMb": 1024, "Gpu": 2, "EstimateMs": 3000, "RequiredLabel": last.rack}
+	if err := r.submit(step); err != nil {
+		return false, err
+	}
+	if _, err := r.waitRun(startTimeout); err != nil {
+		return false, err
+	}
+	time.Sleep(r.taskLength + upTime)
+	if r.trouble {
+		last.stop("crashes")
+		time.Sleep(downTime)
+		if err := last.start(); err != nil {
+			return false, err
+		}
+	}
+	s := r.waitState()
+	n := r.doneTwice()
+	r.note("the job is shown as %s; tasks were started again %d times after a run had ended done", s, n)
+	return n > 0, nil
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,7 @@
 // cases are the scripted cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(*rig) (bool, error){
 	"crash-loop":       crashLoop,
+	"foreign-ack":      foreignAck,
 	"lasting-crash":    lastingCrash,
 	"late-leave":       lateLeave,
 	"unanswered-leave": unansweredLeave,
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -123,8 +124,12 @@
 	checkpoints bool
 	// lasting means that tasks do not end by themselves.
 	lasting bool
+	// firstBeat is how long after its start a worker sends its first heartbeat.
+	firstBeat time.Duration
 
 	processes []*exec.Cmd
+	// agents are the processes beside the workers.
+	agents map[*worker]*exec.Cmd
 
 	mu     sync.Mutex
 	record *os.File
@@ -135,6 +140,9 @@
 	twice int
 	// starts counts the starts of each task.
 	starts map[string]int
+	// done are the tasks of which a run has ended done, and again counts later starts.
+	done  map[string]bool
+	again int
 }
 
 func newRig(record string) (*rig, error) {
@@ -155,9 +163,11 @@
 		dir:     d,
 		network: n,
 		begun:   time.Now(),
+		agents:  map[*worker]*exec.Cmd{},
 		record:  f,
 		active:  map[string][]activeRun{},
 		starts:  map[string]int{},
+		done:    map[string]bool{},
 	}, nil
 }
 
@@ -195,8 +205,15 @@
 	if len(others) > 0 {
 		r.twice++
 	}
+	again := r.done[o.Task]
+	if again {
+		r.again++
+	}
 	r.mu.Unlock()
 	r.note("%s starts %s attempt %d", w.name, o.Task, o.Attempt)
+	if again {
+		r.note("TWICE: %s is started after a run of it has ended done", o.Task)
+	}
 	for _, v := range others {
 		r.note("TWICE: %s runs at %s (attempt %d) and at %s (attempt %d) at the same time", o.Task, v.worker, v.attempt, w.name, o.Attempt)
 	}
@@ -212,6 +229,9 @@
 		}
 	}
 	r.active[task] = l
+	if how == "done" {
+		r.done[task] = true
+	}
 	if how == "failed" {
 		r.failed++
 	}
@@ -219,6 +239,13 @@
 	r.note("%s: %s attempt %d ended: %s", w.name, task, attempt, how)
 }
 
+// doneTwice returns how often a task was started after a run of it had ended done.
+func (r *rig) doneTwice() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.again
+}
+
 // running returns how many of a job's tasks run.
 func (r *rig) running() int {
 	r.mu.Lock()
@@ -273,14 +300,16 @@
 		if err := r.startProcess(fmt.Sprintf("side-%d", i+1), t, "target/hemlockhinge", "agent"); err != nil {
 			return err
 		}
-		r.workers = append(r.workers, &worker{
+		w := &worker{
 			rig:   r,
 			name:  fmt.Sprintf("worker-%d", i+1),
 			id:    fmt.Sprintf("i-%08x", 0x7f3a0000+i),
 			addr:  r.addr(h, workerPort),
 			rack:  fmt.Sprintf("r%d", i/perRack+1),
 			agent: r.addr(h, controlPort),
-		})
+		}
+		r.workers = append(r.workers, w)
+		r.agents[w] = r.processes[len(r.processes)-1]
 	}
 	for _, w := range r.workers {
 		if err := w.start(); err != nil {
@@ -332,6 +361,20 @@
 	return nil
 }
 
+// freeze stops the agent beside a worker, and lets it go on after a time.
+func (r *rig) freeze(w *worker, d time.Duration) error {
+	p := r.agents[w].Process
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	r.note("the agent beside %s stands still", w.name)
+	time.AfterFunc(d, func() {
+		r.note("the agent beside %s goes on", w.name)
+		_ = p.Signal(syscall.SIGCONT)
+	})
+	return nil
+}
+
 // close ends everything that the rig has started.
 func (r *rig) close() {
 	for _, w := range r.workers {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -16,10 +16,11 @@
 
 // Timing of a worker, as the settings and PROTOCOL.md state it.
 const (
-	heartbeatInterval  = 1500 * time.Millisecond
-	heartbeatTimeout   = time.Second
-	maxLease           = 6 * time.Second
-	stopTime           = 200 * time.Millisecond
+	heartbeatInterval = 1500 * time.Millisecond
+	heartbeatTimeout  = time.Second
+	maxLease          = 6 * time.Second
+	// stopTime is how long a stop takes; StopMs is 200.
+	stopTime           = 180 * time.Millisecond
 	checkpointInterval = 500 * time.Millisecond
 	maxHoldWait        = 2 * time.Second
 )
@@ -63,13 +64,14 @@
 	attempts map[string]int
 	ends     []end
 	lastEnd  int64
+	acked    int64
 	token    int64
 	lease    time.Time
 	changed  chan struct{}
 	draining bool
+	// silent means that the worker has sent its deregistration, and sends no more heartbeats.
+	silent   bool
 	leavesAt time.Time
-	// mute drops all answers to the agent, as a cut of that direction does.
-	mute bool
 }
 
 // start starts an incarnation.
@@ -90,11 +92,12 @@
 	w.attempts = map[string]int{}
 	w.ends = nil
 	w.lastEnd = 0
+	w.acked = 0
 	w.token = 0
 	w.lease = time.Time{}
 	w.changed = make(chan struct{})
 	w.draining = false
-	w.mute = false
+	w.silent = false
 	born := w.born
 	w.mu.Unlock()
 	w.rig.note("%s starts as %s, born %d", w.name, w.id, born.UnixMilli())
@@ -104,7 +107,10 @@
 		ConnState:         w.track,
 	}
 	go func() { _ = s.Serve(l) }()
-	go w.beat(x, born)
+	go func() {
+		time.Sleep(w.rig.firstBeat)
+		w.beat(x, born)
+	}()
 	go w.watchLease(x, born)
 	return nil
 }
@@ -147,13 +153,6 @@
 // clockMS is the worker's steady clock. w.mu is held.
 func (w *worker) clockMS() int64 { return time.Since(w.born).Milliseconds() + 1 }
 
-// setMute sets whether answers to the agent are dropped.
-func (w *worker) setMute(v bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.mute = v
-}
-
 // drain makes the worker say that it leaves, and returns whether a heartbeat that says so was
 // acknowledged.
 func (w *worker) drain(left time.Duration) bool {
@@ -165,6 +164,13 @@
 	return w.beatOnce(born)
 }
 
+// untilBeat returns the time until the next regular heartbeat.
+func (w *worker) untilBeat() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return heartbeatInterval - (time.Since(w.born)-w.rig.firstBeat)%heartbeatInterval
+}
+
 // beat sends heartbeats until c ends.
 func (w *worker) beat(c context.Context, born time.Time) {
 	t := time.NewTicker(heartbeatInterval)
@@ -181,7 +187,7 @@
 // beatOnce sends one heartbeat and reports whether it was acknowledged.
 func (w *worker) beatOnce(born time.Time) bool {
 	w.mu.Lock()
-	if !w.lives(born) {
+	if !w.lives(born) || w.silent {
 		w.mu.Unlock()
 		return false
 	}
@@ -211,6 +217,9 @@
 // deregister tells the agent that the worker leaves, and returns the status of the answer, 0 for
 // none.
 func (w *worker) deregister(timeout time.Duration) int {
+	w.mu.Lock()
+	w.silent = true
+	w.mu.Unlock()
 	w.rig.note("%s sends its deregistration as %s", w.name, w.id)
 	s := w.tell("deregister", nil, timeout)
 	w.rig.note("%s has the answer %d to its deregistration", w.name, s)
@@ -238,11 +247,6 @@
 	}
 	defer func() { _ = p.Body.Close() }()
 	_, _ = io.Copy(io.Discard, p.Body)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.mute {
-		return 0
-	}
 	return p.StatusCode
 }
 
@@ -267,9 +271,8 @@
 	}
 	w.mu.Lock()
 	status, v := w.handle(born, r, o)
-	mute := w.mute || status == 0
 	w.mu.Unlock()
-	if mute {
+	if status == 0 {
 		<-r.Context().Done()
 		return
 	}
@@ -283,8 +286,7 @@
 func (w *worker) handle(born time.Time, r *http.Request, o order) (int, any) {
 	id := r.Header.Get("Hemlockhinge-Expected-Instance")
 	switch {
-	case !w.lives(born) || w.mute:
-		// Behind a cut the order does not arrive either.
+	case !w.lives(born):
 		return 0, nil
 	case id != "" && id != w.id:
 		return http.StatusMisdirectedRequest, w.reason("")
@@ -360,7 +362,7 @@
 	r := w.runs[o.Task]
 	if r != nil && r.attempt == o.Attempt {
 		born := w.born
-		time.AfterFunc(stopTime/2, func() {
+		time.AfterFunc(stopTime, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if w.lives(born) && w.runs[o.Task] == r {
@@ -429,13 +431,11 @@
 	if o.DeadlineMs > 0 {
 		w.extend(o.DeadlineMs)
 	}
-	w.ends = slices.DeleteFunc(w.ends, func(e end) bool {
-		if e.number <= o.AckedThrough {
-			w.rig.note("%s: the end %d of %s attempt %d (%s) is taken note of", w.name, e.number, e.task, e.attempt, e.how)
-			return true
-		}
-		return false
-	})
+	if o.AckedThrough > w.acked {
+		w.rig.note("%s: AckedThrough %d; the incarnation has listed ends up to %d", w.name, o.AckedThrough, w.lastEnd)
+		w.acked = o.AckedThrough
+	}
+	w.forget()
 	t := time.NewTimer(min(time.Duration(o.WaitMs)*time.Millisecond, maxHoldWait))
 	defer t.Stop()
 	for waiting := o.WaitMs > 0; waiting && len(w.ends) == 0; {
@@ -453,6 +453,7 @@
 			return 0, nil
 		}
 	}
+	w.forget()
 	running := [][]any{}
 	for k, r := range w.runs {
 		running = append(running, []any{k, r.attempt, w.checkpoint(r, false), int(100 * min(r.from+time.Since(r.begun), r.length) / r.length), 7500})
@@ -482,3 +483,15 @@
 	defer w.mu.Unlock()
 	return w.agent
 }
+
+// forget drops the ends up to the highest AckedThrough that the incarnation has received. w.mu is
+// held.
+func (w *worker) forget() {
+	w.ends = slices.DeleteFunc(w.ends, func(e end) bool {
+		if e.number > w.acked {
+			return false
+		}
+		w.rig.note("%s: the end %d of %s attempt %d (%s) is taken note of", w.name, e.number, e.task, e.attempt, e.how)
+		return true
+	})
+}
