Log and count which incarnation a deregistration ends

A deregistration names the worker's id alone, and so did the agent's log line. It could not be told from the log whether the incarnation that the agent took as gone was the one that left. worker_deregistered now has the incarnation, whether it was leaving, the age of its last heartbeat and the number of runs that count as ended; a counter says how many deregistrations ended runs.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -10,6 +10,7 @@
 package meter
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -37,6 +38,7 @@
 	configAgeSeconds  prometheus.Histogram
 	workerCrashes     prometheus.Counter
 	heartbeatsRefused prometheus.Counter
+	deregistrations   *prometheus.CounterVec
 	workerSpeed       *prometheus.GaugeVec
 	workerUncertainty *prometheus.GaugeVec
 	clientsRefused    *prometheus.CounterVec
@@ -80,6 +82,11 @@
 			Name:      "heartbeats_refused_total",
 			Help:      "Heartbeats of other writers.",
 		}),
+		deregistrations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "worker_deregistrations_total",
+			Help:      "Deregistrations of the worker, by whether it had runs.",
+		}, []string{"busy"}),
 		workerSpeed: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace,
 			Name:      "worker_speed",
@@ -102,7 +109,7 @@
 		}, []string{"cause"}),
 		held: newHeldCollector(),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.workerSpeed, m.workerUncertainty, m.clientsRefused, m.held)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.deregistrations, m.workerSpeed, m.workerUncertainty, m.clientsRefused, m.held)
 	return m
 }
 
@@ -210,6 +217,14 @@
 	}
 }
 
+// WorkerDeregistered counts a deregistration of the worker. busy means that it had runs, which
+// count as ended.
+func (m *Meter) WorkerDeregistered(busy bool) {
+	if m != nil {
+		m.deregistrations.WithLabelValues(strconv.FormatBool(busy)).Inc()
+	}
+}
+
 // ClientRefused counts a connection or a request that was refused or closed for want of room.
 func (m *Meter) ClientRefused(cause string) {
 	if m != nil {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -209,13 +209,21 @@
 	if id != r.worker.ID || r.worker.Gone {
 		return
 	}
+	f := logrus.Fields{
+		"worker":       id,
+		"born":         r.worker.Born,
+		"leaving":      r.worker.Leaving,
+		"heartbeat_ms": time.Since(r.heartbeatAt).Milliseconds(),
+		"lost_runs":    len(r.ledger.Runs()),
+	}
 	r.worker.Gone = true
 	r.worker.Leaving = true
 	r.ledger.SetIncarnation(-r.worker.Born)
+	r.ports.Meter.WorkerDeregistered(len(r.ledger.Dropped()) > 0)
 	if r.ports.OnPresenceChange != nil {
 		r.ports.OnPresenceChange(false)
 	}
-	r.ports.Log.WithField("worker", id).Info("worker_deregistered")
+	r.ports.Log.WithFields(f).Info("worker_deregistered")
 	r.markChanged()
 }
 
