A deregistration ends runs only once the worker is gone

Callers saw work done twice: a worker left while a partition held up its deregistration, started again under its id, got a task, and the held deregistration arrived.

A heartbeat of that incarnation made it known again, but did not ask for the registration, which had been deleted.

Change: the deregistration only makes the agent poll the worker. It is gone, with its runs, once nobody listens at its address (connection refused) or another worker does; a reading of the connection alone, without a deregistration, ends nothing as before. A heartbeat that says that the worker stays, or one of the next incarnation, drops the deregistration. A heartbeat of a worker that is gone is believed only if the worker answers as that incarnation, and then asks for the registration. The order of messages no longer decides, so late, duplicated and reordered ones do no harm; a worker that is busy or cannot be reached is kept until its lease expires.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -10,7 +10,6 @@
 package meter
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -85,8 +84,8 @@
 		deregistrations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "worker_deregistrations_total",
-			Help:      "Deregistrations of the worker, by whether it had runs.",
-		}, []string{"busy"}),
+			Help:      "Deregistrations under the worker's id, by what has become of the worker.",
+		}, []string{"outcome"}),
 		workerSpeed: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace,
 			Name:      "worker_speed",
@@ -217,11 +216,10 @@
 	}
 }
 
-// WorkerDeregistered counts a deregistration of the worker. busy means that it had runs, which
-// count as ended.
-func (m *Meter) WorkerDeregistered(busy bool) {
+// Deregistration counts a deregistration once it is known what has become of the worker.
+func (m *Meter) Deregistration(outcome string) {
 	if m != nil {
-		m.deregistrations.WithLabelValues(strconv.FormatBool(busy)).Inc()
+		m.deregistrations.WithLabelValues(outcome).Inc()
 	}
 }
 
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -191,7 +191,7 @@
 	case ReasonStaleToken:
 		r.ledger.RaiseToken(r.ledger.Token() + tokenJump)
 		r.unfence()
-	case ReasonNotSent, ReasonOtherIncarnation:
+	case ReasonNotSent, ReasonNoListener, ReasonOtherIncarnation:
 		// The worker may be gone. No task is to be started here before it answers.
 		r.unfence()
 	default:
@@ -261,6 +261,9 @@
 	return ""
 }
 
+// isNotSent reports whether an order that was rejected for a reason was never sent.
+func isNotSent(n Reason) bool { return n == ReasonNotSent || n == ReasonNoListener }
+
 func refusalCode(n Reason) wire.Code {
 	switch n {
 	case ReasonNoCapacity:
@@ -271,7 +274,7 @@
 		return wire.CodeFailed
 	case ReasonTicket:
 		return wire.CodeNoTicket
-	case ReasonStaleToken, ReasonLeaseExpired, ReasonOtherIncarnation, ReasonNotSent, ReasonUnhealthy:
+	case ReasonStaleToken, ReasonLeaseExpired, ReasonOtherIncarnation, ReasonNotSent, ReasonNoListener, ReasonUnhealthy:
 		return wire.CodeLost
 	}
 	return wire.CodeInternal
--- a/runner/identity.go
+++ b/runner/identity.go
@@ -32,6 +32,14 @@
 	return fmt.Sprintf("the worker did not confirm that it is incarnation %q, started at %d", e.ID, e.Born)
 }
 
+// unconfirmed returns the error for a heartbeat whose sender could not be confirmed.
+func unconfirmed(f wire.WorkerInfo) error {
+	return &UnconfirmedHeartbeatError{
+		ID:   f.ID,
+		Born: f.Born,
+	}
+}
+
 // identity says what is known of the sender of a heartbeat.
 type identity int
 
@@ -46,13 +54,14 @@
 
 // identify finds out whether a heartbeat is from the worker. One that names another
 // incarnation than the known one, later or earlier, is believed if the worker itself answers as
-// that incarnation: the known one may only be busy.
+// that incarnation: the known one may only be busy. The same goes for one of a worker that is
+// gone, which may have been sent before it ended.
 func (r *Runner) identify(f wire.WorkerInfo) (identity, error) {
 	r.mu.Lock()
 	old := r.worker
 	token := r.ledger.Token()
 	r.mu.Unlock()
-	if f.ID == old.ID && f.Born == old.Born {
+	if f.ID == old.ID && f.Born == old.Born && !old.Gone {
 		return same, nil
 	}
 	c, cancel := context.WithTimeout(context.Background(), orderTimeout)
@@ -73,12 +82,9 @@
 			ID:   f.ID,
 			Born: a.Listing.Incarnation,
 		}
-	case old.ID != "" && !old.Gone:
+	case old.ID != "" && (!old.Gone || f.Born <= old.Born):
 		r.ports.Meter.HeartbeatRefused()
-		return unknown, &UnconfirmedHeartbeatError{
-			ID:   f.ID,
-			Born: f.Born,
-		}
+		return unknown, unconfirmed(f)
 	}
 	return unknown, nil
 }
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -13,8 +13,9 @@
 func (r *Runner) pollLoop(c context.Context) {
 	for c.Err() == nil {
 		r.mu.Lock()
-		// A worker that has stopped answering is polled until it answers again.
-		fenced, idle := r.fenced, r.ledger.Idle() && r.unansweredSince.IsZero()
+		// A worker that has stopped answering is polled until it answers again, and one that may
+		// have left until it is known whether it has.
+		fenced, idle := r.fenced, r.ledger.Idle() && r.unansweredSince.IsZero() && r.deregistration == nil
 		unacknowledged := idle && r.deliveredAck < r.ledger.AckedThrough()
 		unrecorded := len(r.ledger.Ends()) > 0
 		r.mu.Unlock()
@@ -146,6 +147,7 @@
 		Wait:         wait,
 	}
 	confirmations := r.ledger.Confirmations()
+	pending := r.deregistration
 	expireAt := r.leasesExpireAt
 	r.mu.Unlock()
 	c, cancel := context.WithTimeout(c, wait+max(longPollSlack, orderTimeout))
@@ -156,7 +158,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.syncClock(a.ClockMS)
-	if rejectionReason(err) == ReasonNotSent && r.leasesExpireAt.Equal(expireAt) {
+	if isNotSent(rejectionReason(err)) && r.leasesExpireAt.Equal(expireAt) {
 		// No lease was renewed, neither by this order nor by another one meanwhile.
 		r.leasesExpireAt = expireAtBefore
 	}
@@ -166,6 +168,7 @@
 			r.unansweredSince = begun
 		}
 		r.handleRenewError(o, err)
+		r.confirmDeregistration(pending, err)
 		return err
 	}
 	lastAnswer := r.lastAnswer()
--- a/runner/port.go
+++ b/runner/port.go
@@ -63,8 +63,9 @@
 type Reason string
 
 // The reasons for rejections. The worker names its reason when it answers with 409 Conflict;
-// ReasonInvalid, ReasonUnhealthy and ReasonOtherIncarnation stand for other HTTP statuses, and
-// ReasonNotSent says that the order was never sent.
+// ReasonInvalid, ReasonUnhealthy and ReasonOtherIncarnation stand for other HTTP statuses.
+// ReasonNotSent says that the order was never sent, and ReasonNoListener that it was not because
+// no process listens at the worker's address.
 const (
 	ReasonStaleToken       Reason = "fence"
 	ReasonStaleAttempt     Reason = "old"
@@ -75,6 +76,7 @@
 	ReasonUnhealthy        Reason = "unhealthy"
 	ReasonOtherIncarnation Reason = "other_life"
 	ReasonNotSent          Reason = "not_sent"
+	ReasonNoListener       Reason = "no_listener"
 )
 
 // RejectedError says that an order had no effect. Status is the HTTP status, 0 if the
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -108,6 +108,8 @@
 	// unansweredSince is the time since which the worker has not answered, zero while
 	// it answers.
 	unansweredSince time.Time
+	// deregistration is pending from its arrival until the worker is gone, or is known to stay.
+	deregistration *deregistration
 	// leasesExpireAt is when all leases that the worker may have received have expired.
 	leasesExpireAt time.Time
 	leasesExpired  bool
@@ -171,13 +173,19 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if id != confirmed && r.worker.Gone && f.ID == r.worker.ID && f.Born == r.worker.Born {
+		return unconfirmed(f)
+	}
 	stale := f.Born < r.worker.Born && id != confirmed
 	if stale || (f.Born == r.worker.Born && f.ID == r.worker.ID && seq < r.heartbeatSeq) {
 		r.ports.Log.WithFields(logrus.Fields{"worker": f.ID, "born": f.Born, "seq": seq}).Info("stale_heartbeat_ignored")
 		return nil
 	}
 	old := r.worker
-	isNew := !old.Known || f.Born != old.Born || f.ID != old.ID
+	isNew := !old.Known || old.Gone || f.Born != old.Born || f.ID != old.ID
+	if isNew || !f.Leaving {
+		r.discardDeregistration()
+	}
 	r.worker = f
 	r.heartbeatSeq = seq
 	r.heartbeatAt = time.Now()
@@ -202,31 +210,6 @@
 	return nil
 }
 
-// HandleDeregister handles a worker's deregistration.
-func (r *Runner) HandleDeregister(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if id != r.worker.ID || r.worker.Gone {
-		return
-	}
-	f := logrus.Fields{
-		"worker":       id,
-		"born":         r.worker.Born,
-		"leaving":      r.worker.Leaving,
-		"heartbeat_ms": time.Since(r.heartbeatAt).Milliseconds(),
-		"lost_runs":    len(r.ledger.Runs()),
-	}
-	r.worker.Gone = true
-	r.worker.Leaving = true
-	r.ledger.SetIncarnation(-r.worker.Born)
-	r.ports.Meter.WorkerDeregistered(len(r.ledger.Dropped()) > 0)
-	if r.ports.OnPresenceChange != nil {
-		r.ports.OnPresenceChange(false)
-	}
-	r.ports.Log.WithFields(f).Info("worker_deregistered")
-	r.markChanged()
-}
-
 // updateIncarnation records the worker's incarnation and reports whether it is a new one.
 // Earlier orders then have to be fenced again. planned means that the previous incarnation
 // was shutting down, and lastAnswer is when it last answered. The caller holds r.mu.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -44,8 +44,10 @@
 	acknowledged int64
 	starts       int
 	unresponsive bool
-	// closed means that nobody listens at its address.
+	// closed means that no call reaches it.
 	closed bool
+	// rejects is the reason for which it rejects calls, if any.
+	rejects runner.Reason
 	// incarnation is that of its listings, workerStart if 0.
 	incarnation int64
 	// lastLeaseEnd is the end of the lease of the last order.
@@ -57,9 +59,12 @@
 // answer returns nil, or, while the worker is unresponsive, a *NoAnswerError when c ends.
 func (w *fakeWorker) answer(c context.Context, op string) error {
 	if w.closed {
+		w.rejects = runner.ReasonNotSent
+	}
+	if w.rejects != "" {
 		return &runner.RejectedError{
 			Op:     op,
-			Reason: runner.ReasonNotSent,
+			Reason: w.rejects,
 		}
 	}
 	if !w.unresponsive {
@@ -475,13 +480,5 @@
 // status that it gets.
 func isVacant(c context.Context, t *testing.T, r *runner.Runner, p *wire.Peer, session uint64) bool {
 	t.Helper()
-	m, err := r.Handle(c, p, &wire.StartSession{
-		Epoch:   1,
-		Session: session,
-	})
-	s, ok := m.(*wire.AgentStatus)
-	if !ok {
-		t.Fatalf("session %d: %v", session, err)
-	}
-	return s.Vacant
+	return status(c, t, r, p, session).Vacant
 }
