A late answer of an earlier incarnation does not set the worker's clock

Callers could see work done twice: an answer of the earlier incarnation that is handled after the next one is known was taken as a reading of the next one's clock. That one has just begun, so lease ends that are stated by its clock lie far ahead, and the worker holds leases for up to the longest time it grants although the agent's contact with the scheduler would allow less. By reading; no run of it was seen outside the test.

Change: a reading counts only if the incarnation is still the one from before the call.

TestLateAnswerOfEarlierIncarnation failed before: "a lease lasts until 3605700 ms by the clock of an incarnation that has just begun".

--- a/runner/handle.go
+++ b/runner/handle.go
@@ -99,7 +99,7 @@
 		return nil, wire.Refuse(wire.CodeExpired, "launch request expired: an earlier order has no answer yet")
 	}
 	defer func() { <-r.orderSlot }()
-	o, err := r.admitStart(p, t, m)
+	o, incarnation, err := r.admitStart(p, t, m)
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +109,7 @@
 	a, err := r.ports.Worker.Start(s, o)
 	r.ports.Meter.WorkerCall("start", err, time.Since(begun))
 	r.mu.Lock()
-	r.syncClock(a.ClockMS)
+	r.syncClock(incarnation, a.ClockMS)
 	r.mu.Unlock()
 	var n *NoAnswerError
 	if errors.As(err, &n) {
@@ -134,31 +134,31 @@
 }
 
 // admitStart checks whether a start is allowed and, if so, records it in the ledger
-// and returns the order for the worker.
-func (r *Runner) admitStart(p *wire.Peer, t graph.Task, m *wire.Launch) (StartOrder, error) {
+// and returns the order for the worker and the incarnation that it is for.
+func (r *Runner) admitStart(p *wire.Peer, t graph.Task, m *wire.Launch) (o StartOrder, incarnation int64, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := r.checkSession(p); err != nil {
-		return StartOrder{}, err
+		return StartOrder{}, 0, err
 	}
 	r.recordContact(m.LastAgentMS)
 	age := r.clockMS() - m.LastAgentMS
 	r.ports.Meter.OrderAge(time.Duration(age) * time.Millisecond)
 	if age > wire.MaxLaunchAge.Milliseconds() {
-		return StartOrder{}, wire.Refuse(wire.CodeExpired, "launch request expired: it is %d ms old", age)
+		return StartOrder{}, 0, wire.Refuse(wire.CodeExpired, "launch request expired: it is %d ms old", age)
 	}
 	free := r.worker.Capacity.Sub(r.ledger.Used())
 	switch {
 	case !r.worker.Known || r.worker.Gone || !r.fenced:
-		return StartOrder{}, wire.Refuse(wire.CodeLost, "the state of the worker is not known yet")
+		return StartOrder{}, 0, wire.Refuse(wire.CodeLost, "the state of the worker is not known yet")
 	case m.Born != 0 && m.Born != r.worker.Born:
-		return StartOrder{}, wire.Refuse(wire.CodeLost, "the worker has restarted since the start was decided on")
+		return StartOrder{}, 0, wire.Refuse(wire.CodeLost, "the worker has restarted since the start was decided on")
 	case r.worker.Leaving:
-		return StartOrder{}, wire.Refuse(wire.CodeLeaving, "the worker is shutting down")
+		return StartOrder{}, 0, wire.Refuse(wire.CodeLeaving, "the worker is shutting down")
 	case r.ledger.HasOtherAttempt(t, m.Attempt):
-		return StartOrder{}, wire.Refuse(wire.CodeBusy, "another attempt of the task may be running")
+		return StartOrder{}, 0, wire.Refuse(wire.CodeBusy, "another attempt of the task may be running")
 	case !free.Holds(m.Size):
-		return StartOrder{}, wire.Refuse(wire.CodeBusy, "insufficient capacity: %+v of %+v are free", free, r.worker.Capacity)
+		return StartOrder{}, 0, wire.Refuse(wire.CodeBusy, "insufficient capacity: %+v of %+v are free", free, r.worker.Capacity)
 	}
 	return StartOrder{
 		Worker:     r.worker.ID,
@@ -169,7 +169,7 @@
 		Ticket:     m.Ticket,
 		LeaseEndMS: r.leaseEnd(),
 		Token:      r.ledger.Begin(t, m.Attempt, m.Size, time.Now()),
-	}, nil
+	}, r.ledger.Incarnation(), nil
 }
 
 // finishStart records the worker's answer to a start order in the ledger and returns
@@ -233,6 +233,7 @@
 		Attempt: m.Attempt,
 		Token:   r.ledger.Token(),
 	}
+	incarnation := r.ledger.Incarnation()
 	r.mu.Unlock()
 	if err != nil {
 		return nil, err
@@ -244,7 +245,7 @@
 	r.ports.Meter.WorkerCall("stop", err, time.Since(begun))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.syncClock(a.ClockMS)
+	r.syncClock(incarnation, a.ClockMS)
 	if err != nil {
 		r.ports.Log.WithError(err).WithFields(logrus.Fields{"task": m.Task, "attempt": m.Attempt}).Warn("stop_failed")
 		return nil, wire.Refuse(refusalCode(rejectionReason(err)), "%v", err)
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -148,6 +148,7 @@
 	}
 	confirmations := r.ledger.Confirmations()
 	pending := r.deregistration
+	incarnation := r.ledger.Incarnation()
 	expireAt := r.leasesExpireAt
 	r.mu.Unlock()
 	c, cancel := context.WithTimeout(c, wait+max(longPollSlack, orderTimeout))
@@ -157,7 +158,7 @@
 	r.ports.Meter.WorkerCall("hold", err, time.Since(begun))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.syncClock(a.ClockMS)
+	r.syncClock(incarnation, a.ClockMS)
 	if isNotSent(rejectionReason(err)) && r.leasesExpireAt.Equal(expireAt) {
 		// No lease was renewed, neither by this order nor by another one meanwhile.
 		r.leasesExpireAt = expireAtBefore
@@ -208,9 +209,10 @@
 }
 
 // syncClock records a reading of the worker's clock, unless ms is 0, which means that
-// the answer had none. The caller holds r.mu.
-func (r *Runner) syncClock(ms int64) {
-	if ms <= 0 {
+// the answer had none. Each incarnation has a clock of its own: a reading is dropped if the
+// incarnation is not the one from before the call any more. The caller holds r.mu.
+func (r *Runner) syncClock(incarnation, ms int64) {
+	if ms <= 0 || incarnation != r.ledger.Incarnation() {
 		return
 	}
 	r.clock = workerClock{
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -50,6 +50,9 @@
 	rejects runner.Reason
 	// incarnation is that of its listings, workerStart if 0.
 	incarnation int64
+	// startDelay is how long it takes to answer a start, with startClockMS as its clock if set.
+	startDelay   time.Duration
+	startClockMS int64
 	// lastLeaseEnd is the end of the lease of the last order.
 	lastLeaseEnd int64
 	// suspended is for how long the agent's machine has been suspended.
@@ -87,8 +90,10 @@
 		Task:    o.Task,
 		Attempt: o.Attempt,
 	})
+	clockMS := cmp.Or(w.startClockMS, workerClockMS)
+	time.Sleep(w.startDelay)
 	return runner.Answer{
-		ClockMS: workerClockMS,
+		ClockMS: clockMS,
 	}, nil
 }
 
@@ -307,6 +312,36 @@
 	})
 }
 
+// TestLateAnswerOfEarlierIncarnation guards against leases of the next incarnation that last too
+// long: an answer of the earlier one arrives late, and its clock, which has run for an hour, is
+// taken for that of the next one.
+func TestLateAnswerOfEarlierIncarnation(t *testing.T) {
+	const hourMS = 3_600_000
+	w := &fakeWorker{
+		startDelay:   300 * time.Millisecond,
+		startClockMS: hourMS,
+	}
+	withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
+		go launch(c, r, p, "0123456789abcdef.0.0.0", 1)
+		time.Sleep(100 * time.Millisecond)
+		w.incarnation = workerStart + 5000
+		w.running = nil
+		if err := r.HandleHeartbeat(wire.WorkerInfo{
+			Known:    true,
+			ID:       "w1",
+			Born:     w.incarnation,
+			Capacity: workerCapacity,
+		}, 1, 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200*time.Millisecond + time.Millisecond)
+		r.ExtendLease(c)
+		if limit := (2 * lease).Milliseconds(); w.lastLeaseEnd > limit {
+			t.Errorf("a lease lasts until %d ms by the clock of an incarnation that has just begun", w.lastLeaseEnd)
+		}
+	})
+}
+
 // TestForeignHeartbeatIsRefused guards against a heartbeat of another writer that displaces a
 // sound worker: its task is started elsewhere while it runs, or the worker gets none any more.
 // A worker that has really restarted must be believed, also if its clock was set back.
