A listing that was overtaken by a newer one is ignored

Two calls list the runs of a worker, the long poll and the one after a start without an answer, and answers on different connections may overtake each other. A run that had ended in the newer listing and was acknowledged since came back with the older one, and its task waited until the next listing.

Change: a listing has the worker's clock from its answer, and the ledger ignores one that is older than the newest that it has applied.

TestOvertakenListing failed before: "1 runs may exist, want 0".

--- a/fence/fence.go
+++ b/fence/fence.go
@@ -76,6 +76,8 @@
 type Listing struct {
 	// Incarnation identifies the incarnation of the worker.
 	Incarnation int64
+	// ClockMS is the worker's clock when it made the listing, 0 if it is not known.
+	ClockMS int64
 	// Token is the token of the request.
 	Token Token
 	// Confirmations is the number of confirmations in the ledger when the request was made.
@@ -102,6 +104,8 @@
 	ends []End
 	// lastEnd is the highest number of an end that was applied.
 	lastEnd int64
+	// listedMS is the worker's clock of the newest listing that was applied.
+	listedMS int64
 	// truncated means that the worker keeps ends that are not in the ledger yet.
 	truncated bool
 	// ackedThrough is the highest number of an end that was acknowledged.
@@ -143,6 +147,7 @@
 	l.runs = nil
 	l.ends = nil
 	l.lastEnd = 0
+	l.listedMS = 0
 	l.truncated = false
 	l.ackedThrough = 0
 	return true
@@ -186,11 +191,13 @@
 
 // Apply updates the ledger from a listing, and reports whether anything other than
 // checkpoints and progress has changed. Listings of another incarnation are
-// ignored.
+// ignored, and those that are older than one that was applied: answers on different connections
+// may overtake each other.
 func (l *Ledger) Apply(s Listing) bool {
-	if s.Incarnation != l.incarnation {
+	if s.Incarnation != l.incarnation || s.ClockMS > 0 && s.ClockMS < l.listedMS {
 		return false
 	}
+	l.listedMS = max(l.listedMS, s.ClockMS)
 	l.cleared = nil
 	changed := l.applyRuns(s) || l.truncated != s.Truncated
 	l.truncated = s.Truncated
--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -39,6 +39,30 @@
 	}
 }
 
+// TestOvertakenListing guards against a run that ended, was acknowledged and comes back with a
+// listing that was overtaken by newer ones: its task would wait until the next listing.
+func TestOvertakenListing(t *testing.T) {
+	l := ledger()
+	l.Begin(first, 1, size, time.Time{})
+	l.Confirm(first, 1)
+	at := func(ms int64, s fence.Listing) fence.Listing {
+		s.ClockMS = ms
+		return s
+	}
+	overtaken := at(1000, listing(l, fence.Run{Task: first, Attempt: 1}))
+	ended := at(1001, listing(l))
+	ended.Ended = []fence.End{{Number: 1, End: graph.End{Task: first, Attempt: 1, Outcome: graph.OutcomeDone}}}
+	l.Apply(ended)
+	l.Acknowledge(7, 1)
+	l.Apply(overtaken)
+	assertRuns(t, l, 0)
+	l.SetIncarnation(8)
+	next := at(1, listing(l, fence.Run{Task: second, Attempt: 1}))
+	next.Incarnation = 8
+	l.Apply(next)
+	assertRuns(t, l, 1)
+}
+
 func TestStartWithoutAnswer(t *testing.T) {
 	t.Run("listing under the same token does not remove the run", func(t *testing.T) {
 		l := ledger()
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -183,6 +183,7 @@
 		r.updateLeasesExpired()
 	}
 	r.listedAt = r.ports.Clock.Now()
+	a.Listing.ClockMS = a.ClockMS
 	a.Listing.Token = o.Token
 	a.Listing.Confirmations = confirmations
 	if a.Listing.Incarnation != r.ledger.Incarnation() && a.Listing.Incarnation > r.worker.Born {
