A report that overtakes the opening of its session is applied

Callers lost jobs: an agent that was cut off or stood still reported that its worker was gone right after it had accepted a session, the scheduler handled the report before the answer that opens the session, and dropped it as one of another session.

Change: a report of a session that is not open yet is kept, the newest one, and applied after the answer if it is newer. report_before_session logs it.

--- a/leader/agent.go
+++ b/leader/agent.go
@@ -34,7 +34,9 @@
 	// report in it.
 	session   uint64
 	reportSeq uint64
-	worker    wire.WorkerInfo
+	// early is a report of a session that is being opened.
+	early  earlyReport
+	worker wire.WorkerInfo
 	// accountedFor is false until all that may run at the worker is known in this
 	// term, from the agent's report or because the worker's leases have expired.
 	accountedFor bool
--- a/leader/report.go
+++ b/leader/report.go
@@ -10,12 +10,40 @@
 	"hemlockhinge/wire"
 )
 
+// earlyReport is a report that was handled before the answer that opens its session.
+type earlyReport struct {
+	session uint64
+	status  *wire.AgentStatus
+}
+
 // applyReport applies a status report of an agent, unless it is older than the last
-// one. The report that opens a session is always the newest. A report of an earlier
-// session may have waited to be handled for long, and is dropped.
+// one. A report of an earlier session may have waited to be handled for long, and is dropped. One
+// of a session that is not open yet is kept until it is: the agent does not send it again.
 func (t *term) applyReport(m *agentState, session uint64, s *wire.AgentStatus, opening bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if session > m.session {
+		t.keepEarlyReport(m, session, s)
+		return
+	}
+	t.applyReportOfSession(m, session, s, opening)
+}
+
+// keepEarlyReport keeps the newest report of a session that is not open yet; t.mu is held.
+func (t *term) keepEarlyReport(m *agentState, session uint64, s *wire.AgentStatus) {
+	if m.early.session == session && s.Seq < m.early.status.Seq {
+		return
+	}
+	m.early = earlyReport{
+		session: session,
+		status:  s,
+	}
+	t.log.WithFields(logrus.Fields{"agent": m.addr, "session": session, "seq": s.Seq}).Info("report_before_session")
+}
+
+// applyReportOfSession is applyReport for a session that was opened; t.mu is held. The report that
+// opens a session counts even if one with its number was applied.
+func (t *term) applyReportOfSession(m *agentState, session uint64, s *wire.AgentStatus, opening bool) {
 	if t.agents[m.addr] != m || session != m.session || s.Seq < m.reportSeq || (s.Seq == m.reportSeq && !opening) {
 		return
 	}
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -268,6 +268,51 @@
 	}
 }
 
+// TestReportBeforeSessionOpens guards against a task that is never started again: the report that
+// its worker is gone is handled before the answer that opens the session, and an agent whose worker
+// runs nothing does not repeat its reports.
+func TestReportBeforeSessionOpens(t *testing.T) {
+	running := wire.RunState{
+		Task:    testTask.String(),
+		Attempt: 1,
+	}
+	gone := func(v *reportTest) *wire.AgentStatus {
+		s := v.report(6, 3000)
+		s.Worker.Gone = true
+		return s
+	}
+	cases := []struct {
+		name string
+		do   func(v *reportTest)
+		kept bool
+	}{
+		{"newer than the answer", func(v *reportTest) {
+			v.term.applyReport(v.agent, 2, gone(v), false)
+			v.open(2, v.report(5, 2000, running))
+		}, false},
+		{"of a session that was given up", func(v *reportTest) {
+			v.term.applyReport(v.agent, 2, gone(v), false)
+			v.open(3, v.report(5, 2000, running))
+		}, true},
+		{"older than the answer", func(v *reportTest) {
+			s := gone(v)
+			s.Seq = 4
+			v.term.applyReport(v.agent, 2, s, false)
+			v.open(2, v.report(5, 2000, running))
+		}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v := newReportTest()
+			v.confirm(1)
+			c.do(v)
+			if kept := v.job.runs[testTask] == v.run; kept != c.kept {
+				t.Errorf("the run is kept: %t, not %t", kept, c.kept)
+			}
+		})
+	}
+}
+
 // countingNet counts the connections that are asked for, and opens none.
 type countingNet struct {
 	wire.Network
--- a/leader/session.go
+++ b/leader/session.go
@@ -119,7 +119,7 @@
 }
 
 // sessionOpened resets what belongs to the previous session and applies the first
-// status report.
+// status report, and a newer one that has overtaken it.
 func (t *term) sessionOpened(m *agentState, p *wire.Peer, session uint64, s *wire.AgentStatus) {
 	m.lossLogged = false
 	t.mu.Lock()
@@ -142,9 +142,13 @@
 			r.startUnconfirmed = true
 		}
 	}
+	t.applyReportOfSession(m, session, s, true)
+	if m.early.session == session {
+		t.applyReportOfSession(m, session, m.early.status, false)
+	}
+	m.early = earlyReport{}
 	t.mu.Unlock()
 	t.log.WithFields(logrus.Fields{"agent": m.addr, "node": s.Node, "worker": s.Worker.ID, "runs": len(s.Runs), "ends": len(s.Ends)}).Info("agent_connected")
-	t.applyReport(m, session, s, true)
 }
 
 func (t *term) sessionClosed(m *agentState, p *wire.Peer) {
