Acknowledgements of ends reach only the incarnation that listed them

Callers saw work done twice: a worker crashed and started again under its id, and the agent's first call to it acknowledged ends of the earlier incarnation.

Cause: the order names the worker's id only, and each call carried the number again, also after calls that had failed.

Change: an acknowledgement is sent until it is answered once, and only while the worker answers and has done so within 500 ms, in which no worker restarts. The time goes on while the machine is suspended. Calls after a failure acknowledge nothing until a listing has shown which incarnation is there.

TestAckIsForOneIncarnation, 3 of 3 cases failed before: "ends up to 1 of the earlier incarnation are acknowledged to the next one".

--- a/runner/poll.go
+++ b/runner/poll.go
@@ -143,7 +143,7 @@
 		Worker:       r.worker.ID,
 		LeaseEndMS:   r.leaseEnd(),
 		Token:        r.ledger.Token(),
-		AckedThrough: r.ledger.AckedThrough(),
+		AckedThrough: r.dueAck(),
 		Wait:         wait,
 	}
 	confirmations := r.ledger.Confirmations()
@@ -199,6 +199,18 @@
 	return nil
 }
 
+// dueAck returns the number up to which ends are to be acknowledged, 0 for none. The order cannot
+// name the incarnation whose ends these are, and the next one would forget its own ends up to that
+// number. So an acknowledgement is sent once, and only while the incarnation has just answered. The
+// caller holds r.mu.
+func (r *Runner) dueAck() int64 {
+	n := r.ledger.AckedThrough()
+	if n <= r.deliveredAck || !r.unansweredSince.IsZero() || r.ports.Clock.Since(r.listedAt) > maxAckAge {
+		return 0
+	}
+	return n
+}
+
 // handleRenewError logs a renewal that failed, and raises the token if the worker rejected
 // the order because its token was too low. The caller holds r.mu.
 func (r *Runner) handleRenewError(o RenewOrder, err error) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -43,7 +43,10 @@
 	// quotient is the wait before the next call.
 	backoffDivisor   = 10
 	leaseExpirySlack = 300 * time.Millisecond
-	reportInterval   = time.Second
+	// maxAckAge is how long ago the worker may last have answered when its ends are acknowledged.
+	// No worker restarts in less.
+	maxAckAge      = 500 * time.Millisecond
+	reportInterval = time.Second
 	// tokenJump is added to a token that the worker has rejected as too low. It is
 	// more than an agent can have raised its token in a day.
 	tokenJump = fence.Token(1) << 37
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -97,6 +97,15 @@
 	}, nil
 }
 
+// endFirst ends the first run as done.
+func (w *fakeWorker) endFirst() {
+	e := fence.End{Number: int64(len(w.ended) + 1)}
+	e.Task = w.running[0].Task
+	e.Attempt = w.running[0].Attempt
+	e.Outcome = graph.OutcomeDone
+	w.running, w.ended = w.running[1:], append(w.ended, e)
+}
+
 func (w *fakeWorker) Stop(context.Context, runner.StopOrder) (runner.Answer, error) {
 	return runner.Answer{
 		ClockMS: workerClockMS,
@@ -422,11 +431,7 @@
 			t.Fatalf("start: code %s", k)
 		}
 		time.Sleep(time.Second)
-		e := fence.End{Number: 1}
-		e.Task = w.running[0].Task
-		e.Attempt = 1
-		e.Outcome = graph.OutcomeDone
-		w.running, w.ended = nil, []fence.End{e}
+		w.endFirst()
 		time.Sleep(2 * time.Second)
 		if _, err := r.Handle(c, p, &wire.AckEnds{Born: workerStart, Through: 1}); err != nil {
 			t.Fatal(err)
@@ -438,6 +443,53 @@
 	})
 }
 
+// TestAckIsForOneIncarnation guards against ends that are never listed, so that their tasks are done
+// twice: the acknowledgement of ends of an earlier incarnation reaches the next one, which has the
+// same id and numbers its ends from 1 as well. It must reach the incarnation that listed them.
+func TestAckIsForOneIncarnation(t *testing.T) {
+	cases := []struct {
+		name string
+		// before happens before the scheduler's acknowledgement, and after between that and the
+		// next incarnation.
+		before, after func(w *fakeWorker)
+	}{
+		{"acknowledged before the crash", func(*fakeWorker) {}, func(w *fakeWorker) {
+			time.Sleep(time.Second)
+			w.rejects = runner.ReasonNotSent
+			time.Sleep(1500 * time.Millisecond)
+		}},
+		{"the worker is down", func(w *fakeWorker) { w.rejects = runner.ReasonNotSent }, func(*fakeWorker) { time.Sleep(time.Second) }},
+		{"the agent was suspended", func(w *fakeWorker) { w.suspended = lease }, func(*fakeWorker) {}},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			w := &fakeWorker{}
+			withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
+				for _, k := range []string{"0123456789abcdef.0.0.0", "0123456789abcdef.0.0.1"} {
+					if n := launch(c, r, p, k, 1); n != 0 {
+						t.Fatalf("start: code %s", n)
+					}
+				}
+				w.endFirst()
+				time.Sleep(1100 * time.Millisecond)
+				v.before(w)
+				if _, err := r.Handle(c, p, &wire.AckEnds{Born: workerStart, Through: 1}); err != nil {
+					t.Fatal(err)
+				}
+				v.after(w)
+				w.acknowledged = 0
+				w.rejects = ""
+				w.incarnation = workerStart + 5000
+				w.running, w.ended = nil, nil
+				time.Sleep(2 * time.Second)
+				if w.acknowledged > 0 {
+					t.Errorf("ends up to %d of the earlier incarnation are acknowledged to the next one", w.acknowledged)
+				}
+			})
+		})
+	}
+}
+
 // TestStartIsForOneIncarnation guards against a task that starts on a worker of another size or
 // kind than the one that it was placed on: the worker has restarted, under its id, while the start
 // was on its way.
