An agent that does not know its worker yet keeps its runs

Cause: an agent whose registration is deleted was removed, with its runs, when its report knew no worker. A restarted agent knows none before the next heartbeat, and says nothing of the runs until then.

Change: such an agent is removed once its worker is known to be gone, or all leases have expired: by its report in a session, by the clock without one.

TestRegistrationDeletedLate/the_agent_was_restarted failed before: "the run or its agent was removed before the agent knows its worker".

--- a/leader/agent.go
+++ b/leader/agent.go
@@ -40,6 +40,8 @@
 	// accountedFor is false until all that may run at the worker is known in this
 	// term, from the agent's report or because the worker's leases have expired.
 	accountedFor bool
+	// vacant means that all leases of the worker have expired, by the newest report.
+	vacant bool
 	// acceptsTasks means that the worker answers its agent and takes tasks.
 	acceptsTasks bool
 	// lastContact is when the agent was last certainly in contact.
@@ -132,13 +134,11 @@
 	t.goroutines.Go(func() { t.maintainSession(c, m) })
 }
 
-// removeIfGone removes an agent whose registration was deleted, with its runs, once its worker is
-// known to be gone: the next worker may have come before the deletion was seen, and tasks been
-// started there. t.mu is held.
+// removeIfGone removes an agent whose registration was deleted, with its runs, once it is known
+// that nothing runs at its worker: the next worker may have come before the deletion was seen, and
+// tasks been started there. t.mu is held.
 func (t *term) removeIfGone(m *agentState, now time.Time) {
-	hasWorker := m.peer != nil && m.worker.Known && !m.worker.Gone
-	inDoubt := m.peer == nil && !m.worker.Gone && len(m.runs) > 0 && !t.workerLeasesExpired(m, now)
-	if !m.unregistered || hasWorker || inDoubt {
+	if !m.unregistered || !t.workerEnded(m, now) {
 		return
 	}
 	m.cancel()
@@ -149,6 +149,18 @@
 	}
 }
 
+// workerEnded reports whether an agent's worker is gone, with all that it ran. An agent in session
+// that was restarted may not know its worker yet, and says nothing of it until then. t.mu is held.
+func (t *term) workerEnded(m *agentState, now time.Time) bool {
+	switch {
+	case m.worker.Known && m.worker.Gone:
+		return true
+	case m.peer != nil:
+		return !m.worker.Known && m.vacant
+	}
+	return len(m.runs) == 0 || t.workerLeasesExpired(m, now)
+}
+
 // acknowledgeEnds tells the agent which ends are recorded in the store, so that its
 // worker can discard them; t.mu is held.
 func (m *agentState) acknowledgeEnds() {
--- a/leader/report.go
+++ b/leader/report.go
@@ -68,6 +68,7 @@
 			t.applyReportedRun(m, k, v, s.ListedMS)
 		}
 	}
+	m.vacant = s.Vacant
 	m.acceptsTasks = s.Settled && !s.Vacant
 	if s.Vacant || (s.Settled && s.Worker.Known) {
 		m.accountedFor = true
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -383,4 +383,25 @@
 			t.Error("the run or its agent has stayed")
 		}
 	})
+	t.Run("the agent was restarted", func(t *testing.T) {
+		v := newReportTest()
+		v.confirm(1)
+		v.term.applyAgent(v.agent.addr, deleted)
+		s := v.report(1, 10, running)
+		s.Worker = wire.WorkerInfo{}
+		s.Settled = false
+		v.open(2, s)
+		v.term.removeIfGone(v.agent, time.Now())
+		if v.job.runs[testTask] != v.run || v.term.agents[v.agent.addr] != v.agent {
+			t.Error("the run or its agent was removed before the agent knows its worker")
+		}
+		s = v.report(2, 20)
+		s.Worker = wire.WorkerInfo{}
+		s.Vacant = true
+		v.term.applyReport(v.agent, 2, s, false)
+		v.term.removeIfGone(v.agent, time.Now())
+		if len(v.job.runs) > 0 || v.term.agents[v.agent.addr] != nil {
+			t.Error("the run or its agent has stayed once all leases have expired")
+		}
+	})
 }
