An agent takes no tasks before its registration is written

Callers could see work done twice: a worker leaves and the next one at its address comes before the slow store has deleted the registration. Tasks start at the next worker in the session that is open, the deletion takes effect, and the store turns the agent away, so that it cannot register again. A scheduler that takes over then does not know of the agent, and starts its tasks elsewhere.

Change: an agent refuses starts, and says so in its reports, from the end of a worker or its own start until the store has answered the write of its registration. A worker that crashes and comes back under a written registration is not held up.

--- a/runner/deregister.go
+++ b/runner/deregister.go
@@ -85,9 +85,7 @@
 	r.unansweredSince = time.Time{}
 	r.leasesExpireAt = time.Time{}
 	r.updateLeasesExpired()
-	if r.ports.OnPresenceChange != nil {
-		r.ports.OnPresenceChange(false)
-	}
+	r.setPresent(false)
 	r.ports.Meter.Deregistration(deregistrationConfirmed)
 	r.ports.Log.WithFields(logrus.Fields{
 		"worker":    r.worker.ID,
--- a/runner/handle.go
+++ b/runner/handle.go
@@ -151,6 +151,8 @@
 	switch {
 	case !r.worker.Known || r.worker.Gone || !r.fenced:
 		return StartOrder{}, 0, wire.Refuse(wire.CodeLost, "the state of the worker is not known yet")
+	case !r.registered:
+		return StartOrder{}, 0, wire.Refuse(wire.CodeLost, "the agent is not registered yet")
 	case m.Born != 0 && m.Born != r.worker.Born:
 		return StartOrder{}, 0, wire.Refuse(wire.CodeLost, "the worker has restarted since the start was decided on")
 	case r.worker.Leaving:
--- a/runner/report.go
+++ b/runner/report.go
@@ -52,6 +52,8 @@
 		AgentMS: r.clockMS(),
 
 		ListedMS: r.listedAt.Sub(r.clockStart).Milliseconds(),
+
+		Unregistered: !r.registered,
 	}
 	for _, v := range r.ledger.Runs() {
 		s.Runs = append(s.Runs, wire.RunState{
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -64,9 +64,9 @@
 // Ports holds the external dependencies of a runner.
 type Ports struct {
 	Worker Worker
-	// OnPresenceChange, if set, is called with true for each new incarnation of the worker,
-	// and with false when the worker has deregistered.
-	OnPresenceChange func(present bool)
+	// OnPresenceChange, if set, is called for each new incarnation of the worker, and when the
+	// worker is gone. It must not block; HandleRegistered tells of its effect.
+	OnPresenceChange func(Presence)
 	Log              *logrus.Entry
 	Meter            *meter.Meter
 	WallClock        func() time.Time
@@ -74,6 +74,12 @@
 	Clock clock.Clock
 }
 
+// Presence says whether the worker is present. Number increases with each change.
+type Presence struct {
+	Number  uint64
+	Present bool
+}
+
 // workerClock is a reading of the worker's monotonic clock and the agent's time when it
 // was taken.
 type workerClock struct {
@@ -99,7 +105,11 @@
 	// heartbeatSeq is the sequence number of the newest heartbeat.
 	heartbeatSeq int64
 	heartbeatAt  time.Time
-	clock        workerClock
+	presence     Presence
+	// registered is set once the registration for the worker that is present was written. Until
+	// then another scheduler may not find this agent.
+	registered bool
+	clock      workerClock
 	// fenced is false while an earlier order may still take effect.
 	fenced bool
 	// schedulerContact is the time of the scheduler's last contact.
@@ -192,8 +202,8 @@
 	r.worker = f
 	r.heartbeatSeq = seq
 	r.heartbeatAt = time.Now()
-	if r.ports.OnPresenceChange != nil && isNew {
-		r.ports.OnPresenceChange(true)
+	if isNew {
+		r.setPresent(true)
 	}
 	if isNew || f.Leaving != old.Leaving {
 		r.ports.Log.WithFields(logrus.Fields{
@@ -213,6 +223,31 @@
 	return nil
 }
 
+// setPresent records whether the worker is present, and asks for its registration or the removal
+// of that. A registration that was written stays while the next incarnation follows at once. The
+// caller holds r.mu.
+func (r *Runner) setPresent(present bool) {
+	registered := r.registered && r.presence.Present || r.ports.OnPresenceChange == nil
+	r.presence.Number++
+	r.presence.Present = present
+	r.registered = present && registered
+	if r.ports.OnPresenceChange != nil {
+		r.ports.OnPresenceChange(r.presence)
+	}
+}
+
+// HandleRegistered records that the registration for a presence of the worker was written, unless
+// that has changed since.
+func (r *Runner) HandleRegistered(p Presence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p != r.presence || !p.Present || r.registered {
+		return
+	}
+	r.registered = true
+	r.markChanged()
+}
+
 // updateIncarnation records the worker's incarnation and reports whether it is a new one.
 // Earlier orders then have to be fenced again. planned means that the previous incarnation
 // was shutting down, and lastAnswer is when it last answered. The caller holds r.mu.
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -79,6 +79,9 @@
 	Vacant   bool
 	AgentMS  int64
 	ListedMS int64
+	// Unregistered means that the store has no registration of the agent for its present worker,
+	// so that other schedulers may not know of it. It takes no tasks.
+	Unregistered bool
 }
 
 // Ping renews the scheduler's contact with an agent. LastAgentMS is the newest AgentMS that
