A start without an answer is no proof that its task crashed the worker

Change: a run that the worker never confirmed is reported as unresolved, not crashed.

TestStartBeforeCrash and the new cases of TestCrashes say so in the parts.

--- a/graph/crash_test.go
+++ b/graph/crash_test.go
@@ -10,6 +10,8 @@
 type crashStep struct {
 	attempt  int
 	survived bool
+	// unresolved means that it is not known whether the attempt had begun.
+	unresolved bool
 }
 
 // TestCrashes guards against a task that crashes worker after worker, and against a job that
@@ -17,6 +19,7 @@
 func TestCrashes(t *testing.T) {
 	crash := func(attempt int) crashStep { return crashStep{attempt: attempt} }
 	survival := func(attempt int) crashStep { return crashStep{attempt: attempt, survived: true} }
+	unresolved := func(attempt int) crashStep { return crashStep{attempt: attempt, unresolved: true} }
 	cases := []struct {
 		name    string
 		steps   []crashStep
@@ -29,6 +32,10 @@
 		{"one reported three times", []crashStep{crash(1), crash(1), crash(1)}, false, graph.Queued},
 		{"worked after two", []crashStep{crash(1), crash(2), survival(3), crash(4)}, false, graph.Queued},
 		{"reported again after it worked", []crashStep{crash(1), survival(2), crash(1), crash(3)}, false, graph.Queued},
+		{"one and two unresolved", []crashStep{unresolved(1), crash(2), unresolved(3)}, true, graph.Queued},
+		{"five unresolved", []crashStep{unresolved(1), unresolved(2), unresolved(3), unresolved(4), unresolved(5)}, true, graph.Queued},
+		{"three and one unresolved", []crashStep{crash(1), unresolved(2), crash(3), crash(4)}, true, graph.Failed},
+		{"worked after two unresolved", []crashStep{unresolved(1), unresolved(2), survival(3)}, false, graph.Queued},
 		{"three after it worked", []crashStep{survival(1), crash(2), crash(3), crash(4)}, true, graph.Failed},
 	}
 	for _, v := range cases {
@@ -41,7 +48,7 @@
 					p.Task(j, k).RecordSurvival(s.attempt)
 					continue
 				}
-				p.RecordCrash(j, k, s.attempt)
+				p.RecordCrash(j, k, s.attempt, !s.unresolved)
 			}
 			if got := p.Task(j, k).SuspectAfter(0); got != v.suspect || p.State != v.want {
 				t.Errorf("suspect: %t, state %q; want %t, %q", got, p.State, v.suspect, v.want)
@@ -62,14 +69,14 @@
 	p := graph.NewProgress(j)
 	k := task(0, 1)
 	for n := 1; n <= attempts; n++ {
-		p.RecordCrash(j, k, n)
+		p.RecordCrash(j, k, n, true)
 		p.RecordEnd(j, graph.End{
 			Task:    k,
 			Attempt: n,
 			Outcome: graph.OutcomeFailed,
 		}, 3)
 	}
-	if p.RecordCrash(j, k, 1) {
+	if p.RecordCrash(j, k, 1, true) {
 		t.Error("an old crash is recorded again")
 	}
 	v := p.Task(j, k)
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -26,6 +26,8 @@
 	// OutcomeWorkerCrashed: its worker crashed soon after it had started, possibly because
 	// of it.
 	OutcomeWorkerCrashed Outcome = "crashed"
+	// OutcomeStartUnresolved: its worker crashed, and it is not known whether the run had begun.
+	OutcomeStartUnresolved Outcome = "unresolved"
 )
 
 // State is the state of a job as its caller sees it.
@@ -65,6 +67,10 @@
 	// SurvivedAttempt, the last attempt that has worked without crashing its worker.
 	CrashedAttempts []int `msgpack:"c,omitempty"`
 	SurvivedAttempt int   `msgpack:"v,omitempty"`
+	// UnresolvedAttempts lists, in the same way, the newest attempts whose worker crashed when
+	// it was not known whether they had begun. They make the task a suspect, but do not count
+	// when it is given up.
+	UnresolvedAttempts []int `msgpack:"u,omitempty"`
 }
 
 // Limits on the workers that a task may crash. One crash may have other causes, and the task
@@ -79,7 +85,9 @@
 
 // SuspectAfter reports whether after n more crashes the task is suspected to crash its
 // workers, so that it must be started apart from other tasks.
-func (t *TaskProgress) SuspectAfter(n int) bool { return len(t.CrashedAttempts)+n >= suspectCrashes }
+func (t *TaskProgress) SuspectAfter(n int) bool {
+	return len(t.CrashedAttempts)+len(t.UnresolvedAttempts)+n >= suspectCrashes
+}
 
 // GivenUpAfter reports whether the task is given up after n more crashes.
 func (t *TaskProgress) GivenUpAfter(n int) bool { return len(t.CrashedAttempts)+n >= maxCrashes }
@@ -131,15 +139,21 @@
 }
 
 // RecordCrash records that the worker crashed soon after an attempt at a task had started,
-// and reports whether that is new. After maxCrashes of them the job has failed.
-func (p *Progress) RecordCrash(j *Job, k Task, attempt int) bool {
+// and reports whether that is new. After maxCrashes of them the job has failed. ran is false if it
+// is not known whether the run had begun: that crash does not count for giving the job up.
+func (p *Progress) RecordCrash(j *Job, k Task, attempt int, ran bool) bool {
 	t := p.Task(j, k)
 	if t == nil || t.Done || p.State.Final() || attempt <= t.SurvivedAttempt || slices.Contains(t.CrashedAttempts, attempt) {
 		return false
 	}
 	t.Attempt = max(t.Attempt, attempt)
-	if j.Steps[k.Step].LongRunning {
-		return t.recordLastingCrash(attempt)
+	switch {
+	case j.Steps[k.Step].LongRunning:
+		// Such a task is started again however often it crashes its workers, but apart from
+		// others.
+		return recordNewest(&t.CrashedAttempts, attempt)
+	case !ran:
+		return recordNewest(&t.UnresolvedAttempts, attempt)
 	}
 	t.CrashedAttempts = append(t.CrashedAttempts, attempt)
 	if t.GivenUpAfter(0) {
@@ -148,16 +162,15 @@
 	return true
 }
 
-// recordLastingCrash records a crash under a task that lasts. Such a task is started again
-// however often it crashes its workers, but apart from others: the newest crashes that make it a
-// suspect are kept. It reports whether there was a change.
-func (t *TaskProgress) recordLastingCrash(attempt int) bool {
-	if len(t.CrashedAttempts) == suspectCrashes && attempt < slices.Min(t.CrashedAttempts) {
+// recordNewest adds an attempt to a list that keeps the newest ones that make a task a suspect, and
+// reports whether that has changed the list.
+func recordNewest(l *[]int, attempt int) bool {
+	if slices.Contains(*l, attempt) || len(*l) == suspectCrashes && attempt < slices.Min(*l) {
 		return false
 	}
-	t.CrashedAttempts = append(t.CrashedAttempts, attempt)
-	slices.Sort(t.CrashedAttempts)
-	t.CrashedAttempts = t.CrashedAttempts[max(len(t.CrashedAttempts)-suspectCrashes, 0):]
+	*l = append(*l, attempt)
+	slices.Sort(*l)
+	*l = (*l)[max(len(*l)-suspectCrashes, 0):]
 	return true
 }
 
@@ -165,10 +178,12 @@
 // that it is not to blame for earlier crashes, also for those that are told later. It reports
 // whether there were any.
 func (t *TaskProgress) RecordSurvival(attempt int) bool {
-	n := len(t.CrashedAttempts)
-	t.CrashedAttempts = slices.DeleteFunc(t.CrashedAttempts, func(a int) bool { return a <= attempt })
+	n := len(t.CrashedAttempts) + len(t.UnresolvedAttempts)
+	survived := func(a int) bool { return a <= attempt }
+	t.CrashedAttempts = slices.DeleteFunc(t.CrashedAttempts, survived)
+	t.UnresolvedAttempts = slices.DeleteFunc(t.UnresolvedAttempts, survived)
 	t.SurvivedAttempt = max(t.SurvivedAttempt, attempt)
-	return len(t.CrashedAttempts) < n
+	return len(t.CrashedAttempts)+len(t.UnresolvedAttempts) < n
 }
 
 // RecordEnd records the end of a run, and reports whether the task is done or has
--- a/leader/crash.go
+++ b/leader/crash.go
@@ -12,9 +12,9 @@
 )
 
 // recordCrash records in the progress of a job that an agent's worker crashed soon after an
-// attempt at a task had started. Agents report a crash repeatedly.
-func (t *term) recordCrash(j *job, m *agentState, k graph.Task, attempt int) {
-	if !j.progress.RecordCrash(j.Job, k, attempt) {
+// attempt at a task had started, or may have if ran is false. Agents report a crash repeatedly.
+func (t *term) recordCrash(j *job, m *agentState, k graph.Task, attempt int, ran bool) {
+	if !j.progress.RecordCrash(j.Job, k, attempt, ran) {
 		return
 	}
 	j.progressVersion++
@@ -24,6 +24,7 @@
 	t.log.WithFields(logrus.Fields{
 		"task":    k.String(),
 		"attempt": attempt,
+		"ran":     ran,
 		"agent":   m.addr,
 		"crashes": len(j.progress.Task(j.Job, k).CrashedAttempts),
 		"state":   j.progress.State,
--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -57,7 +57,7 @@
 		other := testTask
 		other.Index = 1
 		for n := range 2 {
-			v.term.recordCrash(v.job, v.agent, other, n+1)
+			v.term.recordCrash(v.job, v.agent, other, n+1, true)
 		}
 		v.run.attempt = 5
 		v.run.phase = running
--- a/leader/loss.go
+++ b/leader/loss.go
@@ -51,7 +51,7 @@
 	for _, v := range m.earlyLosses {
 		j := t.jobs[v.task.Job]
 		if j != nil && m.worker.Born != v.incarnation && m.agentRestarts != v.agentRestarts {
-			t.recordCrash(j, m, v.task, v.attempt)
+			t.recordCrash(j, m, v.task, v.attempt, true)
 		}
 	}
 	m.earlyLosses = nil
--- a/leader/report.go
+++ b/leader/report.go
@@ -243,9 +243,9 @@
 func (t *term) applyReportedEnd(m *agentState, e wire.EndState) {
 	k, err := graph.ParseTask(e.Task)
 	j := t.jobs[k.Job]
-	if graph.Outcome(e.How) == graph.OutcomeWorkerCrashed {
+	if o := graph.Outcome(e.How); o == graph.OutcomeWorkerCrashed || o == graph.OutcomeStartUnresolved {
 		if err == nil && j != nil {
-			t.recordCrash(j, m, k, e.Attempt)
+			t.recordCrash(j, m, k, e.Attempt, o == graph.OutcomeWorkerCrashed)
 		}
 		return
 	}
--- a/runner/crash.go
+++ b/runner/crash.go
@@ -54,10 +54,14 @@
 	r.crashed = slices.DeleteFunc(r.crashed, func(v crashedRun) bool { return time.Since(v.recordedAt) > crashReportTime })
 	var l []wire.EndState
 	for _, v := range r.crashed {
+		how := graph.OutcomeWorkerCrashed
+		if v.Uncertain() {
+			how = graph.OutcomeStartUnresolved
+		}
 		l = append(l, wire.EndState{
 			Task:    v.Task.String(),
 			Attempt: v.Attempt,
-			How:     string(graph.OutcomeWorkerCrashed),
+			How:     string(how),
 			Saved:   v.Checkpoint,
 		})
 	}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -490,6 +491,41 @@
 	}
 }
 
+// TestStartBeforeCrash guards against a job that is given up for crashes of workers that never ran
+// it: a start without an answer, whose worker comes back as another incarnation, may have been sent
+// after the crash.
+func TestStartBeforeCrash(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		t.Run(fmt.Sprintf("answered %t", answered), func(t *testing.T) {
+			w := &fakeWorker{}
+			withRunner(t, w, func(c context.Context, r *runner.Runner, p *wire.Peer) {
+				w.unresponsive = !answered
+				go launch(c, r, p, "0123456789abcdef.0.0.0", 1)
+				time.Sleep(200 * time.Millisecond)
+				w.unresponsive = false
+				w.running = nil
+				w.incarnation = workerStart + 5000
+				if err := r.HandleHeartbeat(wire.WorkerInfo{
+					Known:    true,
+					ID:       "w1",
+					Born:     w.incarnation,
+					Capacity: workerCapacity,
+				}, 1, 1); err != nil {
+					t.Fatal(err)
+				}
+				want := graph.OutcomeStartUnresolved
+				if answered {
+					want = graph.OutcomeWorkerCrashed
+				}
+				l := status(c, t, r, p, 2).Ends
+				if len(l) != 1 || l[0].How != string(want) {
+					t.Errorf("ends %+v, not one that is %s", l, want)
+				}
+			})
+		})
+	}
+}
+
 // TestStartIsForOneIncarnation guards against a task that starts on a worker of another size or
 // kind than the one that it was placed on: the worker has restarted, under its id, while the start
 // was on its way.
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -52,7 +52,8 @@
 // EndState is the end of one run that the worker has listed and the scheduler has not
 // acknowledged yet. N numbers the ends within one incarnation of the worker. How is a
 // graph.Outcome, and Saved the id of the run's newest checkpoint. An end for which How is
-// graph.OutcomeWorkerCrashed was not listed: its N is 0, and it is not acknowledged.
+// graph.OutcomeWorkerCrashed or OutcomeStartUnresolved was not listed: its N is 0, and it is not
+// acknowledged.
 type EndState struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	N        int64
