Lasting tasks that are suspected of crashes start in halves

Cause: all tasks that were started together within a second of a crash are suspects after two, and a suspect is started with nothing else on its worker for 3 s. For a task that has an end the third crash fails its job, so it must be alone. One that lasts is never given up, and need not be. Besides, it stayed a suspect for ever: its progress does not rise once it is at work, which alone cleared it.

Change: suspects that last start in groups, by one bit of their numbers after the other for each further crash, over all jobs; a group shares a worker, and groups start on several workers at once. A run that lasts is cleared once listings show it at work for two seconds.

--- a/alloc/alloc.go
+++ b/alloc/alloc.go
@@ -59,12 +59,19 @@
 	extra graph.Size
 	// placed means that this Decide has placed a unit on the worker.
 	placed bool
+	// apartGroup is the ApartGroup of the units with Apart set that this Decide has placed here.
+	apartGroup int
 	// speedClass is the slowest speed among those that count as equal to the worker's.
 	speedClass float64
 }
 
 // accepts reports whether the worker may be given a unit beside what starts there.
-func (v *Worker) accepts(u *Unit) bool { return !v.KeepApart && (!u.Apart || !v.placed) }
+func (v *Worker) accepts(u *Unit) bool {
+	return v.holdsGroup(u) || !v.KeepApart && (!u.Apart || !v.placed)
+}
+
+// holdsGroup reports whether this Decide has placed units of the unit's apart group on the worker.
+func (v *Worker) holdsGroup(u *Unit) bool { return u.ApartGroup != 0 && v.apartGroup == u.ApartGroup }
 
 // freeFor returns the capacity that a unit may use on the worker now.
 func (v *Worker) freeFor(u *Unit) graph.Size {
@@ -107,6 +114,9 @@
 	// a task of the unit may crash its worker. Workers with much free capacity are
 	// preferred, since less is lost there.
 	Apart bool
+	// ApartGroup, if not 0, is a group of units with Apart set that may start on one worker
+	// together.
+	ApartGroup int
 	// AllowedWorkers, if not nil, holds the indexes of the only workers that may run the
 	// step.
 	AllowedWorkers map[int]bool
@@ -324,6 +334,7 @@
 	anyRack      bool
 	extraOnly    bool
 	apart        bool
+	apartGroup   int
 	outliers     bool
 	limit        speedLimit
 }
@@ -340,6 +351,7 @@
 		anyRack:      u.AnyRack,
 		extraOnly:    u.extraOnly,
 		apart:        u.Apart,
+		apartGroup:   u.ApartGroup,
 		outliers:     u.admitsOutliers,
 		limit:        u.limit,
 	}
@@ -357,7 +369,10 @@
 		w[k].RunsLatencyTasks = w[k].RunsLatencyTasks || u.Step.TailLatencyTarget > 0
 		w[k].RunsBestEffort = w[k].RunsBestEffort || u.Step.BestEffort
 		w[k].placed = true
-		w[k].KeepApart = w[k].KeepApart || u.Apart
+		if u.Apart {
+			w[k].KeepApart = true
+			w[k].apartGroup = u.ApartGroup
+		}
 		if u.RunningPerWorker != nil {
 			u.RunningPerWorker[k]++
 		}
@@ -502,6 +517,7 @@
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		x, y := &w[a.worker], &w[b.worker]
 		return cmp.Or(
+			u.compareGroup(x, y),
 			cmp.Compare(x.FailureScore, y.FailureScore),
 			u.compareSpeed(x, y),
 			u.compareLeftover(leftoverShare(x, u, a.fits), leftoverShare(y, u, b.fits)),
@@ -529,6 +545,18 @@
 	return at
 }
 
+// compareGroup orders workers that hold units of the unit's apart group first, so that the group
+// keeps few workers from others.
+func (u *Unit) compareGroup(x, y *Worker) int {
+	switch a, b := x.holdsGroup(u), y.holdsGroup(u); {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // compareLeftover orders workers by what stays free on them: the least first, by best fit,
 // and the most first for units that are kept apart.
 func (u *Unit) compareLeftover(a, b float64) int {
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -71,6 +71,8 @@
 	// it was not known whether they had begun. They make the task a suspect, but do not count
 	// when it is given up.
 	UnresolvedAttempts []int `msgpack:"u,omitempty"`
+	// LastingCrashes counts, for a task that lasts, the crashes since it has last worked.
+	LastingCrashes int `msgpack:"l,omitempty"`
 }
 
 // Limits on the workers that a task may crash. One crash may have other causes, and the task
@@ -89,6 +91,21 @@
 	return len(t.CrashedAttempts)+len(t.UnresolvedAttempts)+n >= suspectCrashes
 }
 
+// maxApartGroups bounds by how many bits of their indexes suspects are told apart.
+const maxApartGroups = 16
+
+// ApartGroup returns the group of suspects with which a task that lasts may start on one worker, 0 for
+// none: each further crash splits its group in halves, by one bit of the tasks' numbers after the
+// other. number differs between tasks.
+func (t *TaskProgress) ApartGroup(number uint32) int {
+	split := t.LastingCrashes - suspectCrashes
+	if split < 0 || split >= maxApartGroups {
+		return 0
+	}
+	half := int(number >> split & 1)
+	return 1 + 2*split + half
+}
+
 // GivenUpAfter reports whether the task is given up after n more crashes.
 func (t *TaskProgress) GivenUpAfter(n int) bool { return len(t.CrashedAttempts)+n >= maxCrashes }
 
@@ -151,7 +168,11 @@
 	case j.Steps[k.Step].LongRunning:
 		// Such a task is started again however often it crashes its workers, but apart from
 		// others.
-		return recordNewest(&t.CrashedAttempts, attempt)
+		isNew := recordNewest(&t.CrashedAttempts, attempt)
+		if isNew {
+			t.LastingCrashes++
+		}
+		return isNew
 	case !ran:
 		return recordNewest(&t.UnresolvedAttempts, attempt)
 	}
@@ -183,6 +204,9 @@
 	t.CrashedAttempts = slices.DeleteFunc(t.CrashedAttempts, survived)
 	t.UnresolvedAttempts = slices.DeleteFunc(t.UnresolvedAttempts, survived)
 	t.SurvivedAttempt = max(t.SurvivedAttempt, attempt)
+	if len(t.CrashedAttempts) == 0 {
+		t.LastingCrashes = 0
+	}
 	return len(t.CrashedAttempts)+len(t.UnresolvedAttempts) < n
 }
 
--- a/leader/progress.go
+++ b/leader/progress.go
@@ -28,6 +28,8 @@
 	firstListedMS int64
 	lastPercent   int
 	lastListedMS  int64
+	// atWorkSinceMS is since when listings show a run that lasts at work, 0 while they do not.
+	atWorkSinceMS int64
 }
 
 // Least progress and time from which a pace tells the run time: progress comes in whole
@@ -51,9 +53,23 @@
 	p.lastPercent, p.lastListedMS = percent, listedMS
 }
 
+// observeAtWork records whether a run that lasts is at work in a listing that the agent dated, and
+// returns for how long it has been so in all listings.
+func (p *runProgress) observeAtWork(atWork bool, listedMS int64) time.Duration {
+	switch {
+	case !atWork:
+		p.atWorkSinceMS = 0
+		return 0
+	case p.atWorkSinceMS == 0:
+		p.atWorkSinceMS = listedMS
+	}
+	return time.Duration(listedMS-p.atWorkSinceMS) * time.Millisecond
+}
+
 // forgetPace forgets the pace, after a restart of the agent has reset the clock.
 func (p *runProgress) forgetPace() {
 	p.firstListedMS, p.lastListedMS, p.lastPercent = 0, 0, 0
+	p.atWorkSinceMS = 0
 }
 
 // paceTotal extrapolates the whole run time from the pace. It returns false while too little
--- a/leader/report.go
+++ b/leader/report.go
@@ -186,7 +186,11 @@
 		return
 	}
 	r.checkpoint = v.Saved
-	if !r.survived && v.Percent > r.progress.percent && time.Since(r.startedAt) > survivalTime {
+	progresses := v.Percent > r.progress.percent
+	if j.Steps[k.Step].LongRunning {
+		progresses = r.progress.observeAtWork(v.Percent >= fullPercent, listedMS) > survivalTime
+	}
+	if !r.survived && progresses && time.Since(r.startedAt) > survivalTime {
 		r.survived = true
 		j.recordSurvival(k, v.Attempt)
 	}
