Ended jobs are removed as fast as jobs can be submitted

Where more than two jobs a second were submitted, ended ones piled up in the store and in the scheduler's memory: at most ten were removed every 5 s.

Change: each second the scheduler removes what is due, ten jobs a transaction, at most 40 transactions. It stores a mark every 30 s: the revisions of the store with the time that has passed since each, by its own steady clock. The next scheduler counts on from there by the revision of a job's progress. Time between a mark and a take-over does not count, so nothing is removed early, whatever the time of day says.

--- a/leader/keys.go
+++ b/leader/keys.go
@@ -13,7 +13,7 @@
 // Keys in the store. The role key and the keys that other processes write for the
 // scheduler share the prefix inputsPrefix, so that a single watch delivers their
 // changes in order: a scheduler learns that it has lost the role before it learns of
-// any job accepted after that. Keys below progressPrefix, and speedsKey, are
+// any job accepted after that. Keys below progressPrefix, speedsKey and ageMarksKey are
 // written by the scheduler alone.
 const (
 	inputsPrefix   = "hemlockhinge/in/"
@@ -23,6 +23,7 @@
 	agentsPrefix   = inputsPrefix + "agent/"
 	progressPrefix = "hemlockhinge/progress/"
 	speedsKey      = "hemlockhinge/speeds"
+	ageMarksKey    = "hemlockhinge/ages"
 )
 
 // JobKey returns the key of a job's record.
--- a/leader/term.go
+++ b/leader/term.go
@@ -69,6 +69,8 @@
 	storedSpeeds map[string]storedSpeed
 	// speedsChanged means that storedSpeeds differs from what is in the store.
 	speedsChanged bool
+	// ages tells how long ago jobs have ended.
+	ages ageMarks
 	// keepsRoom is what contended returned last.
 	keepsRoom bool
 	// room is where the last decision made room for units, by their first tasks.
