A key acts on the jobs of its customer only

PROTOCOL.md says that a call carries a key of the job's tenant, unless the route is public.

Change: the state of a job comes with its customer; a GET or DELETE for a job of another customer is answered 410, as for one that does not exist. Public queues stay open, and jobs of a customer that the configuration names no more, since it may have been renamed, answer to any key of their queue.

TestJobsOfAnotherCustomer failed before: "GET of another customer's job: status 200, not 410", "DELETE of another customer's job: status 200, not 410".

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -133,6 +133,12 @@
 	JobID string
 }
 
+// mayActFor reports whether the caller may ask for the jobs of a customer, and cancel them: its own,
+// all in a public queue, and those of customers that the configuration does not name any more.
+func (t *ResolvedRequest) mayActFor(customer string) bool {
+	return t.Queue.Public || customer == t.Customer || !t.config.HasCustomer(customer)
+}
+
 // MaxBody returns the maximum size of the request's body, in bytes.
 func (t *ResolvedRequest) MaxBody() int64 { return t.config.MaxBodyBytes }
 
@@ -337,12 +343,12 @@
 	if e != nil {
 		return nil, "", e
 	}
-	s, q, err := d.jobState(c, id)
+	i, err := d.job(c, id)
 	if err != nil {
 		return nil, "", err
 	}
-	name := q.Name
-	if v := g.Lookup(q); v != nil {
+	name := i.Queue.Name
+	if v := g.Lookup(i.Queue); v != nil {
 		name = v.Name
 	}
 	t, err := resolve(g, Request{
@@ -350,7 +356,10 @@
 		JobID:  id,
 		APIKey: key,
 	})
-	return t, s, err
+	if err == nil && !t.mayActFor(i.Customer) {
+		return nil, "", noSuchJob(id)
+	}
+	return t, i.State, err
 }
 
 // Pending returns how many jobs of the request's queue have not started.
@@ -367,30 +376,30 @@
 	return n, nil
 }
 
-// State returns the state of the job that the request names, which must be in the
-// request's queue.
+// State returns the state of the job that the request names, which must be in the request's queue
+// and of its customer.
 func (d *Intake) State(c context.Context, t *ResolvedRequest) (graph.State, error) {
-	s, q, err := d.jobState(c, t.JobID)
+	i, err := d.job(c, t.JobID)
 	if err != nil {
 		return "", err
 	}
-	if !t.Queue.Is(q) {
+	if !t.Queue.Is(i.Queue) || !t.mayActFor(i.Customer) {
 		return "", noSuchJob(t.JobID)
 	}
-	return s, nil
+	return i.State, nil
 }
 
-// jobState returns the state of a job and its queue. Its error is an *Error.
-func (d *Intake) jobState(c context.Context, id string) (graph.State, policy.QueueRef, error) {
-	s, q, err := d.queryState(c, id)
+// job returns what is known of a job. Its error is an *Error.
+func (d *Intake) job(c context.Context, id string) (leader.JobInfo, error) {
+	i, err := d.queryJob(c, id)
 	if err != nil {
 		d.ports.Log.WithError(err).WithField("job", id).Info("job_state_unavailable")
-		return "", q, d.unavailable("the scheduler and the store cannot be reached")
+		return leader.JobInfo{}, d.unavailable("the scheduler and the store cannot be reached")
 	}
-	if s == "" {
-		return "", q, noSuchJob(id)
+	if i.State == "" {
+		return leader.JobInfo{}, noSuchJob(id)
 	}
-	return s, q, nil
+	return i, nil
 }
 
 func noSuchJob(id string) *Error { return errorf(http.StatusGone, "job %q does not exist", id) }
--- a/intake/query.go
+++ b/intake/query.go
@@ -139,60 +139,71 @@
 	})
 }
 
-// queryState returns the state of a job and its queue. It asks the scheduler, and
-// reads the store when the scheduler does not know the job or cannot be reached.
-// The state of a job that does not exist is empty.
-func (d *Intake) queryState(c context.Context, id string) (graph.State, policy.QueueRef, error) {
-	s, queue, err := d.ports.Leader.State(id)
+// queryJob returns what is known of a job. It asks the scheduler, and reads the store when the
+// scheduler does not know the job or cannot be reached. The state of a job that does not exist is
+// empty.
+func (d *Intake) queryJob(c context.Context, id string) (leader.JobInfo, error) {
+	v, err := d.ports.Leader.Job(id)
 	if err != nil {
-		var r *wire.JobState
-		r, err = call[*wire.JobState](c, &d.scheduler, &wire.GetJobState{
-			Job: id,
-		})
-		if err == nil {
-			s = graph.State(r.State)
-			queue = policy.QueueRef{
-				Name:   r.Queue,
-				Host:   r.Host,
-				Prefix: r.Prefix,
-			}
-		}
+		v, err = d.askScheduler(c, id)
 	}
-	if err == nil && s != "" {
-		return s, queue, nil
+	if err == nil && v.State != "" {
+		return v, nil
 	}
-	return d.storedState(c, id)
+	return d.storedJob(c, id)
+}
+
+// askScheduler asks the scheduler in another process for a job.
+func (d *Intake) askScheduler(c context.Context, id string) (leader.JobInfo, error) {
+	r, err := call[*wire.JobState](c, &d.scheduler, &wire.GetJobState{
+		Job: id,
+	})
+	if err != nil {
+		return leader.JobInfo{}, err
+	}
+	return leader.JobInfo{
+		State: graph.State(r.State),
+		Queue: policy.QueueRef{
+			Name:   r.Queue,
+			Host:   r.Host,
+			Prefix: r.Prefix,
+		},
+		Customer: r.Customer,
+	}, nil
 }
 
-// storedState reads the state of a job and its queue from the store. The state of
-// a job that does not exist is empty.
-func (d *Intake) storedState(c context.Context, id string) (graph.State, policy.QueueRef, error) {
-	var q policy.QueueRef
+// storedJob reads what is known of a job from the store. The state of a job that does not exist is
+// empty.
+func (d *Intake) storedJob(c context.Context, id string) (leader.JobInfo, error) {
 	i, err := d.ports.Store.Get(c, leader.JobKey(id))
 	var none *store.NotFoundError
 	if errors.As(err, &none) {
-		return "", q, nil
+		return leader.JobInfo{}, nil
 	}
 	if err != nil {
-		return "", q, err
+		return leader.JobInfo{}, err
 	}
 	j, err := leader.DecodeJob(i.Value)
 	if err != nil {
-		return "", q, err
+		return leader.JobInfo{}, err
+	}
+	v := leader.JobInfo{
+		Queue:    leader.QueueRefOf(j),
+		Customer: j.Customer,
 	}
-	q = leader.QueueRefOf(j)
-	s, err := d.storedProgress(c, id)
-	if err != nil || s.Final() {
-		return s, q, err
+	v.State, err = d.storedProgress(c, id)
+	if err != nil || v.State.Final() {
+		return v, err
 	}
 	_, err = d.ports.Store.Get(c, leader.CancelKey(id))
 	switch {
 	case err == nil:
-		return graph.Cancelled, q, nil
+		v.State = graph.Cancelled
+		return v, nil
 	case errors.As(err, &none):
-		return s, q, nil
+		return v, nil
 	}
-	return "", q, err
+	return leader.JobInfo{}, err
 }
 
 // storedProgress returns the state in a job's progress record in the store. A job
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -14,7 +14,7 @@
 //
 //	l := leader.New(leader.Ports{Net: wire.TCP{}, Store: s, Log: log}, settings)
 //	go l.Run(ctx)
-//	state, queue, err := l.State(id)
+//	info, err := l.Job(id)
 package leader
 
 import (
@@ -242,15 +242,22 @@
 	return t, nil
 }
 
-// State returns a job's state and its queue, both zero if the scheduler does not know
-// the job. It returns *NotLeaderError if this process does not hold the role.
-func (l *Leader) State(id string) (graph.State, policy.QueueRef, error) {
+// JobInfo is what callers may learn of a job, and whose it is.
+type JobInfo struct {
+	// State is empty if the job does not exist.
+	State    graph.State
+	Queue    policy.QueueRef
+	Customer string
+}
+
+// Job returns what is known of a job, zero if the scheduler does not know it. It returns
+// *NotLeaderError if this process does not hold the role.
+func (l *Leader) Job(id string) (JobInfo, error) {
 	t, err := l.currentTerm()
 	if err != nil {
-		return "", policy.QueueRef{}, err
+		return JobInfo{}, err
 	}
-	s, q := t.state(id)
-	return s, q, nil
+	return t.jobInfo(id), nil
 }
 
 // Pending returns how many jobs of a queue have not started yet. It returns
@@ -278,15 +285,16 @@
 func (l *Leader) Handle(_ context.Context, _ *wire.Peer, m wire.Message) (wire.Message, error) {
 	switch v := m.(type) {
 	case *wire.GetJobState:
-		s, q, err := l.State(v.Job)
+		i, err := l.Job(v.Job)
 		if err != nil {
 			return nil, wire.Refuse(wire.CodeClaimMoved, "%v", err)
 		}
 		return &wire.JobState{
-			State:  string(s),
-			Queue:  q.Name,
-			Host:   q.Host,
-			Prefix: q.Prefix,
+			State:    string(i.State),
+			Queue:    i.Queue.Name,
+			Host:     i.Queue.Host,
+			Prefix:   i.Queue.Prefix,
+			Customer: i.Customer,
 		}, nil
 	case *wire.GetPendingCount:
 		n, err := l.Pending(v.Queue)
--- a/leader/term.go
+++ b/leader/term.go
@@ -12,7 +12,6 @@
 	"hemlockhinge/graph"
 	"hemlockhinge/mirror"
 	"hemlockhinge/pause"
-	"hemlockhinge/policy"
 )
 
 // Intervals and time limits of a term.
@@ -139,15 +138,19 @@
 	return t.restored
 }
 
-// state returns a job's state as callers see it, and its queue.
-func (t *term) state(id string) (graph.State, policy.QueueRef) {
+// jobInfo returns what callers may learn of a job, zero if there is none.
+func (t *term) jobInfo(id string) JobInfo {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	j := t.jobs[id]
 	if j == nil {
-		return "", policy.QueueRef{}
+		return JobInfo{}
+	}
+	return JobInfo{
+		State:    j.state(),
+		Queue:    QueueRefOf(j.Job),
+		Customer: j.Customer,
 	}
-	return j.state(), QueueRefOf(j.Job)
 }
 
 // pending returns how many jobs of a queue have not started yet.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,6 +8,7 @@
 package policy
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -89,6 +90,11 @@
 	return "", false
 }
 
+// HasCustomer reports whether there is a customer with this name.
+func (c *Config) HasCustomer(name string) bool {
+	return slices.ContainsFunc(c.Customers, func(v Customer) bool { return v.Name == name })
+}
+
 // Queue returns the queue with this name, the first if there are several, or nil.
 func (c *Config) Queue(name string) *Queue {
 	c.indexOnce.Do(func() {
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -157,6 +157,7 @@
 	Queue    string
 	Host     string
 	Prefix   string
+	Customer string
 }
 
 // GetPendingCount asks the scheduler how many jobs of a queue have not started yet. The reply
