A submission that is not stored is not called accepted

PROTOCOL.md: "A 2xx response means that the job was accepted and is stored."

OPERATIONS.md says what a key may do.

TestIDInUse, 4 of 6 cases failed before: "second submission: status 200, not 409".

--- a/intake/submit.go
+++ b/intake/submit.go
@@ -16,13 +16,25 @@
 	"hemlockhinge/store"
 )
 
-// Submit accepts a job. It returns nil when the store has a job with this id,
-// also from an earlier call. Otherwise it returns an *Error: with status 503 or
+// Submit accepts a job. It returns nil when the store has a job with this id in this queue and of
+// this customer, also from an earlier call. Otherwise it returns an *Error: with status 503 or
 // 429 the job never runs unless it is submitted again; with 504 it is not known
-// whether the job was accepted.
+// whether the job was accepted; with 409 the id is that of a job in another queue or of another
+// customer, and this one is not stored.
 func (d *Intake) Submit(c context.Context, t *ResolvedRequest, j *graph.Job) error {
-	_, err := d.submit(c, t, j)
-	return err
+	b, err := d.submit(c, t, j)
+	if err != nil || b == nil {
+		return err
+	}
+	o, err := leader.DecodeJob(b)
+	if err != nil {
+		return err
+	}
+	if !t.Queue.Is(leader.QueueRefOf(o)) || !t.mayActFor(o.Customer) {
+		d.ports.Log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue, "customer": j.Customer}).Warn("job_id_in_use")
+		return errorf(http.StatusConflict, "id %q is in use", j.ID)
+	}
+	return nil
 }
 
 // SubmitIdempotent is like Submit, but returns an *Error of status 422 when the
