What cannot be read in a worker's answer costs that part only

A row whose run cannot be identified is left out and makes the listing incomplete, from which no run counts as lost.

--- a/fence/fence.go
+++ b/fence/fence.go
@@ -87,6 +87,8 @@
 	// Truncated means that the worker keeps further ends, which it lists once these are
 	// acknowledged.
 	Truncated bool
+	// Incomplete means that runs or ends are left out because they cannot be read.
+	Incomplete bool
 }
 
 // Ledger holds the runs that may exist on one worker. The zero value is empty.
@@ -256,10 +258,10 @@
 // dropMissing removes runs that the listing lacks, provided that it would show
 // them: confirmed runs if it was requested after the confirmation, others if it
 // was requested under a higher token than that of their start, which can no longer
-// take effect. A truncated listing shows nothing of the kind: the missing run may be among
-// the ends that it leaves out.
+// take effect. A truncated or incomplete listing shows nothing of the kind: the missing run may be
+// among those that it leaves out.
 func (l *Ledger) dropMissing(s Listing) bool {
-	if s.Truncated {
+	if s.Truncated || s.Incomplete {
 		return false
 	}
 	changed := false
--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -39,6 +39,19 @@
 	}
 }
 
+// TestIncompleteListing guards against a run that counts as lost because its row cannot be read.
+func TestIncompleteListing(t *testing.T) {
+	l := ledger()
+	l.Begin(first, 1, size, time.Time{})
+	l.Confirm(first, 1)
+	s := listing(l)
+	s.Incomplete = true
+	l.Apply(s)
+	assertRuns(t, l, 1)
+	l.Apply(listing(l))
+	assertRuns(t, l, 0)
+}
+
 // TestOvertakenListing guards against a run that ended, was acknowledged and comes back with a
 // listing that was overtaken by newer ones: its task would wait until the next listing.
 func TestOvertakenListing(t *testing.T) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -38,6 +38,7 @@
 	workerCrashes     prometheus.Counter
 	heartbeatsRefused prometheus.Counter
 	deregistrations   *prometheus.CounterVec
+	unreadableParts   *prometheus.CounterVec
 	workerSpeed       *prometheus.GaugeVec
 	workerUncertainty *prometheus.GaugeVec
 	clientsRefused    *prometheus.CounterVec
@@ -86,6 +87,11 @@
 			Name:      "worker_deregistrations_total",
 			Help:      "Deregistrations under the worker's id, by what has become of the worker.",
 		}, []string{"outcome"}),
+		unreadableParts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "worker_answer_parts_unreadable_total",
+			Help:      "Parts of the worker's answers that could not be read and were left out.",
+		}, []string{"part"}),
 		workerSpeed: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace,
 			Name:      "worker_speed",
@@ -108,7 +114,7 @@
 		}, []string{"cause"}),
 		held: newHeldCollector(),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.deregistrations, m.workerSpeed, m.workerUncertainty, m.clientsRefused, m.held)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.deregistrations, m.unreadableParts, m.workerSpeed, m.workerUncertainty, m.clientsRefused, m.held)
 	return m
 }
 
@@ -223,6 +229,13 @@
 	}
 }
 
+// UnreadablePart counts a part of a worker's answer that could not be read.
+func (m *Meter) UnreadablePart(part string) {
+	if m != nil {
+		m.unreadableParts.WithLabelValues(part).Inc()
+	}
+}
+
 // ClientRefused counts a connection or a request that was refused or closed for want of room.
 func (m *Meter) ClientRefused(cause string) {
 	if m != nil {
