--- a/intake/submit.go
+++ b/intake/submit.go
@@ -22,12 +22,8 @@
 // whether the job was accepted; with 409 the id is that of a job in another queue or of another
 // customer, and this one is not stored.
 func (d *Intake) Submit(c context.Context, t *ResolvedRequest, j *graph.Job) error {
-	b, err := d.submit(c, t, j)
-	if err != nil || b == nil {
-		return err
-	}
-	o, err := leader.DecodeJob(b)
-	if err != nil {
+	o, err := d.submit(c, t, j)
+	if err != nil || o == nil {
 		return err
 	}
 	if !t.Queue.Is(leader.QueueRefOf(o)) || !t.mayActFor(o.Customer) {
@@ -40,12 +36,8 @@
 // SubmitIdempotent is like Submit, but returns an *Error of status 422 when the
 // id was used for a different job.
 func (d *Intake) SubmitIdempotent(c context.Context, t *ResolvedRequest, j *graph.Job) error {
-	b, err := d.submit(c, t, j)
-	if err != nil || b == nil {
-		return err
-	}
-	o, err := leader.DecodeJob(b)
-	if err != nil {
+	o, err := d.submit(c, t, j)
+	if err != nil || o == nil {
 		return err
 	}
 	// These come from the configuration, which may have changed since.
@@ -60,9 +52,9 @@
 	return nil
 }
 
-// submit returns the job record that the store had already, or nil if there was
+// submit returns the job with this id that the store had already, or nil if there was
 // none.
-func (d *Intake) submit(c context.Context, t *ResolvedRequest, j *graph.Job) ([]byte, error) {
+func (d *Intake) submit(c context.Context, t *ResolvedRequest, j *graph.Job) (*graph.Job, error) {
 	j.Queue = t.Queue.Name
 	j.Host = t.Queue.Host
 	j.Prefix = t.Queue.Prefix
@@ -94,7 +86,10 @@
 		"outcome":  outcome(err),
 	}).Info("job_submitted")
 	d.ports.Meter.Submitted(outcome(err), w.took)
-	return w.existing, err
+	if err != nil || w.existing == nil {
+		return nil, err
+	}
+	return leader.DecodeJob(w.existing)
 }
 
 // Cancel cancels a job. It returns nil once the store has the cancellation or the
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -98,6 +98,19 @@
 	}, nil
 }
 
+// beat sends the first heartbeat of the worker's incarnation.
+func (w *fakeWorker) beat(t *testing.T, r *runner.Runner) {
+	t.Helper()
+	if err := r.HandleHeartbeat(wire.WorkerInfo{
+		Known:    true,
+		ID:       "w1",
+		Born:     w.incarnation,
+		Capacity: workerCapacity,
+	}, 1, 1); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // endFirst ends the first run as done.
 func (w *fakeWorker) endFirst() {
 	e := fence.End{Number: int64(len(w.ended) + 1)}
@@ -336,14 +349,7 @@
 		time.Sleep(100 * time.Millisecond)
 		w.incarnation = workerStart + 5000
 		w.running = nil
-		if err := r.HandleHeartbeat(wire.WorkerInfo{
-			Known:    true,
-			ID:       "w1",
-			Born:     w.incarnation,
-			Capacity: workerCapacity,
-		}, 1, 1); err != nil {
-			t.Fatal(err)
-		}
+		w.beat(t, r)
 		time.Sleep(200*time.Millisecond + time.Millisecond)
 		r.ExtendLease(c)
 		if limit := (2 * lease).Milliseconds(); w.lastLeaseEnd > limit {
@@ -505,14 +511,7 @@
 				w.unresponsive = false
 				w.running = nil
 				w.incarnation = workerStart + 5000
-				if err := r.HandleHeartbeat(wire.WorkerInfo{
-					Known:    true,
-					ID:       "w1",
-					Born:     w.incarnation,
-					Capacity: workerCapacity,
-				}, 1, 1); err != nil {
-					t.Fatal(err)
-				}
+				w.beat(t, r)
 				want := graph.OutcomeStartUnresolved
 				if answered {
 					want = graph.OutcomeWorkerCrashed
