--- a/graph/progress.go
+++ b/graph/progress.go
@@ -91,15 +91,15 @@
 	return len(t.CrashedAttempts)+len(t.UnresolvedAttempts)+n >= suspectCrashes
 }
 
-// maxApartGroups bounds by how many bits of their indexes suspects are told apart.
-const maxApartGroups = 16
+// maxApartBits is the number of bits by which suspects are told apart.
+const maxApartBits = 16
 
 // ApartGroup returns the group of suspects with which a task that lasts may start on one worker, 0 for
 // none: each further crash splits its group in halves, by one bit of the tasks' numbers after the
 // other. number differs between tasks.
 func (t *TaskProgress) ApartGroup(number uint32) int {
 	split := t.LastingCrashes - suspectCrashes
-	if split < 0 || split >= maxApartGroups {
+	if split < 0 || split >= maxApartBits {
 		return 0
 	}
 	half := int(number >> split & 1)
--- a/leader/ages.go
+++ b/leader/ages.go
@@ -18,7 +18,6 @@
 // ended jobs to the next scheduler without the time of day, which may jump: a job whose progress was
 // stored before the revision of a mark has ended at least as long ago.
 type ageMark struct {
-	_msgpack struct{}      `msgpack:",as_array"`
 	Revision uint64        `msgpack:"r"`
 	Age      time.Duration `msgpack:"a"`
 }
--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -27,7 +27,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		v := newReportTest()
 		for i, want := range []bool{true, false} {
-			v.term.applyReport(v.agent, 1, v.crashReport(uint64(i+2), i+1), false)
+			v.term.applyReport(v.agent, 1, v.crashReport(uint64(i+2), i+1))
 			if got := v.job.startable(testTask, 0, time.Now()); got != want {
 				t.Errorf("startable after crash %d: %t, not %t", i+1, got, want)
 			}
@@ -40,7 +40,7 @@
 		if !v.job.startable(testTask, 0, time.Now()) {
 			t.Error("not startable although the crashes are in the store")
 		}
-		v.term.applyReport(v.agent, 1, v.crashReport(4, 3), false)
+		v.term.applyReport(v.agent, 1, v.crashReport(4, 3))
 		if s := v.job.progress.State; s != graph.Failed {
 			t.Errorf("state %q after three crashes, not failed", s)
 		}
@@ -66,17 +66,17 @@
 			Attempt: 5,
 			Percent: 1,
 		}
-		v.term.applyReport(v.agent, 1, v.report(2, 1001, working), false)
+		v.term.applyReport(v.agent, 1, v.report(2, 1001, working))
 		if !v.job.hasSuspect([]graph.Task{other}, nil) {
 			t.Error("the other member is no suspect although the gang has just started")
 		}
 		time.Sleep(survivalTime + time.Millisecond)
-		v.term.applyReport(v.agent, 1, v.report(3, 3001, working), false)
+		v.term.applyReport(v.agent, 1, v.report(3, 3001, working))
 		if !v.job.hasSuspect([]graph.Task{other}, nil) {
 			t.Error("the other member is no suspect although the gang has not progressed")
 		}
 		working.Percent = 2
-		v.term.applyReport(v.agent, 1, v.report(4, 3002, working), false)
+		v.term.applyReport(v.agent, 1, v.report(4, 3002, working))
 		if v.job.hasSuspect([]graph.Task{other}, nil) {
 			t.Error("the other member is a suspect although the gang works")
 		}
--- a/leader/fuzz_test.go
+++ b/leader/fuzz_test.go
@@ -78,7 +78,7 @@
 			v.term.leader.operatorSettings.Config = benchConfig()
 			v.job.Queue = "wide"
 			v.agent.peer = nil
-			v.term.applyReport(v.agent, 1, &s, false)
+			v.term.applyReport(v.agent, 1, &s)
 			v.term.schedulingPass(time.Now())
 		})
 	})
--- a/leader/lasting_test.go
+++ b/leader/lasting_test.go
@@ -27,7 +27,7 @@
 						Task:    testTask.String(),
 						Attempt: 1,
 						Percent: fullPercent,
-					}), false)
+					}))
 				}
 				if slow := v.term.isSlow(v.agent); slow == lasting {
 					t.Errorf("the worker counts as slow: %t", slow)
@@ -76,7 +76,7 @@
 						Task:    testTask.String(),
 						Attempt: 1,
 						Percent: int(fullPercent * d / c.takes),
-					}), false)
+					}))
 					slow = slow || v.term.isSlow(v.agent)
 				}
 				if slow != c.slow {
--- a/leader/report.go
+++ b/leader/report.go
@@ -19,14 +19,14 @@
 // applyReport applies a status report of an agent, unless it is older than the last
 // one. A report of an earlier session may have waited to be handled for long, and is dropped. One
 // of a session that is not open yet is kept until it is: the agent does not send it again.
-func (t *term) applyReport(m *agentState, session uint64, s *wire.AgentStatus, opening bool) {
+func (t *term) applyReport(m *agentState, session uint64, s *wire.AgentStatus) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if session > m.session {
 		t.keepEarlyReport(m, session, s)
 		return
 	}
-	t.applyReportOfSession(m, session, s, opening)
+	t.applyReportOfSession(m, session, s, false)
 }
 
 // keepEarlyReport keeps the newest report of a session that is not open yet; t.mu is held.
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -119,39 +119,39 @@
 	}{
 		{"report of the session after the reply was lost", func(v *reportTest) {
 			v.loseReply()
-			v.term.applyReport(v.agent, 1, v.report(2, 1100), false)
+			v.term.applyReport(v.agent, 1, v.report(2, 1100))
 		}, true},
 		{"that report after the session has closed", func(v *reportTest) {
 			v.loseReply()
 			v.term.sessionClosed(v.agent, v.agent.peer)
-			v.term.applyReport(v.agent, 1, v.report(2, 1100), false)
+			v.term.applyReport(v.agent, 1, v.report(2, 1100))
 		}, true},
 		{"that report after the next session lists the run", func(v *reportTest) {
 			v.loseReply()
 			v.open(2, v.report(3, 1200, listed))
-			v.term.applyReport(v.agent, 1, v.report(9, 1100), false)
+			v.term.applyReport(v.agent, 1, v.report(9, 1100))
 		}, true},
 		{"that report while the next session is not settled", func(v *reportTest) {
 			v.loseReply()
 			s := v.report(3, 1200)
 			s.Settled = false
 			v.open(2, s)
-			v.term.applyReport(v.agent, 1, v.report(9, 1100), false)
+			v.term.applyReport(v.agent, 1, v.report(9, 1100))
 		}, true},
 		{"reply of the session after the next one lists the run", func(v *reportTest) {
 			v.open(2, v.report(3, 1200, listed))
 			v.confirm(2)
 		}, true},
 		{"report of the session while the reply is awaited", func(v *reportTest) {
-			v.term.applyReport(v.agent, 1, v.report(2, expired), false)
+			v.term.applyReport(v.agent, 1, v.report(2, expired))
 		}, true},
 		{"report before the one that must list it", func(v *reportTest) {
 			v.confirm(5)
-			v.term.applyReport(v.agent, 1, v.report(4, 1100), false)
+			v.term.applyReport(v.agent, 1, v.report(4, 1100))
 		}, true},
 		{"report that must list it", func(v *reportTest) {
 			v.confirm(5)
-			v.term.applyReport(v.agent, 1, v.report(5, 1100), false)
+			v.term.applyReport(v.agent, 1, v.report(5, 1100))
 		}, false},
 		{"next session does not list the run", func(v *reportTest) {
 			v.loseReply()
@@ -163,7 +163,7 @@
 		}, false},
 		{"report of the session once the request has expired", func(v *reportTest) {
 			v.loseReply()
-			v.term.applyReport(v.agent, 1, v.report(2, expired), false)
+			v.term.applyReport(v.agent, 1, v.report(2, expired))
 		}, false},
 	}
 	for _, c := range cases {
@@ -186,7 +186,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		v := newReportTest()
 		time.Sleep(5 * time.Second)
-		v.term.applyReport(v.agent, 1, v.report(2, 6000), false)
+		v.term.applyReport(v.agent, 1, v.report(2, 6000))
 		v.term.sessionClosed(v.agent, v.agent.peer)
 		time.Sleep(testSilenceTolerance - time.Second)
 		if v.term.workerLeasesExpired(v.agent, time.Now()) {
@@ -287,17 +287,17 @@
 		kept bool
 	}{
 		{"newer than the answer", func(v *reportTest) {
-			v.term.applyReport(v.agent, 2, gone(v), false)
+			v.term.applyReport(v.agent, 2, gone(v))
 			v.open(2, v.report(5, 2000, running))
 		}, false},
 		{"of a session that was given up", func(v *reportTest) {
-			v.term.applyReport(v.agent, 2, gone(v), false)
+			v.term.applyReport(v.agent, 2, gone(v))
 			v.open(3, v.report(5, 2000, running))
 		}, true},
 		{"older than the answer", func(v *reportTest) {
 			s := gone(v)
 			s.Seq = 4
-			v.term.applyReport(v.agent, 2, s, false)
+			v.term.applyReport(v.agent, 2, s)
 			v.open(2, v.report(5, 2000, running))
 		}, true},
 	}
@@ -365,7 +365,7 @@
 		v.confirm(1)
 		v.term.applyAgent(v.agent.addr, deleted)
 		v.term.applyAgent(v.agent.addr, store.Item{})
-		v.term.applyReport(v.agent, 1, v.report(2, 2000, running), false)
+		v.term.applyReport(v.agent, 1, v.report(2, 2000, running))
 		if v.job.runs[testTask] != v.run || v.term.agents[v.agent.addr] != v.agent || v.agent.unregistered {
 			t.Error("the run or its agent was removed")
 		}
@@ -376,9 +376,9 @@
 		v.term.applyAgent(v.agent.addr, deleted)
 		s := v.report(2, 2000)
 		s.Worker.Gone = true
-		v.term.applyReport(v.agent, 1, s, false)
+		v.term.applyReport(v.agent, 1, s)
 		v.term.removeIfGone(v.agent, time.Now())
-		v.term.applyReport(v.agent, 1, v.report(3, 3000, running), false)
+		v.term.applyReport(v.agent, 1, v.report(3, 3000, running))
 		if len(v.job.runs) > 0 || v.term.agents[v.agent.addr] != nil {
 			t.Error("the run or its agent has stayed")
 		}
@@ -398,7 +398,7 @@
 		s = v.report(2, 20)
 		s.Worker = wire.WorkerInfo{}
 		s.Vacant = true
-		v.term.applyReport(v.agent, 2, s, false)
+		v.term.applyReport(v.agent, 2, s)
 		v.term.removeIfGone(v.agent, time.Now())
 		if len(v.job.runs) > 0 || v.term.agents[v.agent.addr] != nil {
 			t.Error("the run or its agent has stayed once all leases have expired")
--- a/leader/session.go
+++ b/leader/session.go
@@ -60,7 +60,7 @@
 	o := t.startSessionMessage()
 	p := wire.NewPeer(n, wire.HandlerFunc(func(_ context.Context, _ *wire.Peer, v wire.Message) (wire.Message, error) {
 		if s, ok := v.(*wire.AgentStatus); ok {
-			t.applyReport(m, o.Session, s, false)
+			t.applyReport(m, o.Session, s)
 		}
 		return nil, nil
 	}))
