Lasting suspects of early losses start in halves too

A task becomes a suspect also by one crash that is known and one run lost early at a worker that has not come back, whose fate is not known; the group of a suspect was taken from its known crashes alone, of which there was one, so it was started alone.

Change: runs lost early count for the group as they do for the suspicion.

TestLastingTasksComeBackAfterEarlyLosses failed before: "3 tasks run after 9s, not 12".

--- a/graph/progress.go
+++ b/graph/progress.go
@@ -95,11 +95,11 @@
 const maxApartBits = 16
 
 // ApartGroup returns the group of suspects with which a task that lasts may start on one worker, 0 for
-// none: each further crash splits its group in halves, by one bit of the tasks' numbers after the
-// other. number differs between tasks.
-func (t *TaskProgress) ApartGroup(number uint32) int {
-	split := t.LastingCrashes - suspectCrashes
-	if split < 0 || split >= maxApartBits {
+// none, if n more crashes are assumed: each further crash splits its group in halves, by one bit of
+// the tasks' numbers after the other. number differs between tasks.
+func (t *TaskProgress) ApartGroup(number uint32, n int) int {
+	split := max(t.LastingCrashes+n-suspectCrashes, 0)
+	if split >= maxApartBits {
 		return 0
 	}
 	half := int(number >> split & 1)
--- a/leader/crash.go
+++ b/leader/crash.go
@@ -69,15 +69,15 @@
 	return false
 }
 
-// apartGroup returns the group of suspects with which a task may start on one worker, 0 for none. A
-// task that lasts is never given up, so it may share the blame for a crash. Any other one must
+// apartGroup returns the group of suspects with which a task may start on one worker, 0 for none, if
+// the workers of its early losses have crashed. A task that lasts is never given up, so it may share the blame for a crash. Any other one must
 // be started alone, since its job fails with the next crash.
-func (j *job) apartGroup(k graph.Task) int {
+func (j *job) apartGroup(k graph.Task, earlyLosses int) int {
 	s := j.Steps[k.Step]
 	if !s.LongRunning || s.Gang {
 		return 0
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(k.StepName()))
-	return j.progress.Task(j.Job, k).ApartGroup(h.Sum32() ^ uint32(k.Index)) //nolint:gosec // only its lowest bits count
+	return j.progress.Task(j.Job, k).ApartGroup(h.Sum32()^uint32(k.Index), earlyLosses) //nolint:gosec // only its lowest bits count
 }
--- a/leader/units.go
+++ b/leader/units.go
@@ -158,7 +158,7 @@
 func (l *unitLister) add(j *job, q *policy.Queue, u alloc.Unit, v timing) {
 	if j.hasSuspect(u.Tasks, l.earlyLosses) {
 		u.Apart = true
-		u.ApartGroup = j.apartGroup(u.Tasks[0])
+		u.ApartGroup = j.apartGroup(u.Tasks[0], l.earlyLosses[u.Tasks[0]])
 		u.NoPreemption = true
 	}
 	if l.contended {
