--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -5,10 +5,68 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
+// takeover: a machine beside a worker is lost for good; later the scheduler is killed twice.
+func takeover(s *site, trouble bool) (verdict, error) {
+	const (
+		finish = 14 * time.Second
+		idle   = 3 * time.Second
+		// gap is the time between the two kills.
+		gap = 7900 * time.Millisecond
+	)
+	s.addTenant(branch, 0)
+	if err := s.begin(8); err != nil {
+		return verdict{}, err
+	}
+	if trouble {
+		s.agents[0].signal(syscall.SIGKILL)
+		s.workers[0].crash()
+	}
+	time.Sleep(12 * time.Second)
+	id := "5e00000000000002"
+	one := step{
+		Count:      1,
+		CPU:        7500,
+		MemMb:      31000,
+		Gpu:        1,
+		EstimateMs: 3000,
+	}
+	two := one
+	two.After = []int{0}
+	acked, err := s.submit("normal", id, branch, job{Spec: "work=3000", Phases: []step{one, two}})
+	if err != nil {
+		return verdict{}, err
+	}
+	if !waitFor(5*time.Second, func() bool { return len(s.rec.startsOf(id)) == 1 }) {
+		return verdict{}, errors.New("the first step has not begun")
+	}
+	for i := range 2 {
+		if !trouble {
+			break
+		}
+		time.Sleep(time.Until(acked.Add(500*time.Millisecond + time.Duration(i)*gap)))
+		if err := s.killScheduler(); err != nil {
+			return verdict{}, err
+		}
+	}
+	// The traffic has ended with the acknowledgement. Jobs are asked for finish_s later.
+	time.Sleep(time.Until(acked.Add(finish)))
+	state := s.state("normal", id)
+	for end := acked.Add(finish + idle); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if state == "completed" || s.isRunning(id) {
+			return verdict{false, fmt.Sprintf("the job is shown as %q, or runs", state)}, nil
+		}
+	}
+	waitFor(20*time.Second, func() bool { return len(s.rec.startsOf(id)) > 1 })
+	return verdict{true, fmt.Sprintf("LOST: %.0f s after the end of the traffic the job is shown as %q and has had nothing running for 3 s; seven workers are idle. %d of 2 steps had begun %.1f s after its acknowledgement",
+		finish.Seconds(), state, len(s.rec.startsOf(id)), time.Since(acked).Seconds())}, nil
+}
+
 // reclaim: tasks that last fill the idle capacity; then a tenant asks for what it is guaranteed.
 func reclaim(s *site, trouble bool) (verdict, error) {
 	const limit = 2700 * time.Millisecond
@@ -27,6 +85,7 @@
 				Gpu:         8,
 				EstimateMs:  1000,
 				LongRunning: true,
+				MayMiss:     3,
 			}},
 		})
 		if err != nil {
@@ -118,47 +177,6 @@
 	return verdict{false, fmt.Sprintf("the job began after %d ms", s.rec.startsOf(id)[0].at.Sub(acked).Milliseconds())}, nil
 }
 
-// crashes: a worker crashes soon after it has started a task, three times.
-func crashes(s *site, trouble bool) (verdict, error) {
-	s.addTenant(branch, 0)
-	if err := s.begin(4); err != nil {
-		return verdict{}, err
-	}
-	var n atomic.Int32
-	for _, w := range s.workers {
-		w.onStart = func(w *worker, _ string, _ int) {
-			if !trouble || n.Add(1) > 3 {
-				return
-			}
-			time.Sleep(400 * time.Millisecond)
-			w.crash()
-			time.Sleep(1500 * time.Millisecond)
-			if err := w.start(); err != nil {
-				s.rec.printf("worker %s does not start: %v", w.id, err)
-			}
-		}
-	}
-	id := "5e00000000000002"
-	if _, err := s.submit("normal", id, branch, job{
-		Spec: "work=4000",
-		Phases: []step{{
-			Count:      1,
-			CPU:        7500,
-			MemMb:      31000,
-			Gpu:        1,
-			EstimateMs: 4000,
-		}},
-	}); err != nil {
-		return verdict{}, err
-	}
-	state := ""
-	for end := time.Now().Add(60 * time.Second); time.Now().Before(end) && state != "completed" && state != "failed"; time.Sleep(time.Second) {
-		state = s.state("normal", id)
-	}
-	l := len(s.rec.startsOf(id))
-	return verdict{state != "completed", fmt.Sprintf("the job is shown as %q after %d starts, none of which ended \"failed\"", state, l)}, nil
-}
-
 // cancelUnknown: a client gives a job up whose write the store carries out late, and cancels it.
 func cancelUnknown(s *site, trouble bool) (verdict, error) {
 	const limit = 3 * time.Second
@@ -349,37 +367,40 @@
 	return verdict{d > 17*time.Second, fmt.Sprintf("the job began after %d ms", d.Milliseconds())}, nil
 }
 
-// reserve: a large gang waits for room; meanwhile a task that lasts is handed in.
+// reserve: a large gang waits for room; meanwhile the worker of a task that lasts crashes once.
 func reserve(s *site, trouble bool) (verdict, error) {
+	const (
+		workers  = 8
+		limit    = 9 * time.Second
+		downTime = 1400 * time.Millisecond
+		watch    = 30 * time.Second
+	)
 	s.addTenant(branch, 0)
 	s.addTenant(serving, 0)
-	if err := s.begin(3); err != nil {
+	if err := s.begin(workers); err != nil {
 		return verdict{}, err
 	}
-	big := func(n int, gang bool) []step {
-		return []step{{
-			Count:      n,
-			CPU:        16000,
-			MemMb:      32768,
-			Gpu:        8,
-			EstimateMs: 40000,
-			Gang:       gang,
-		}}
+	wide := func(n int, gang bool) job {
+		return job{
+			Spec: "work=70000",
+			Phases: []step{{
+				Count:      n,
+				CPU:        16000,
+				MemMb:      32768,
+				Gpu:        8,
+				EstimateMs: 70000,
+				Gang:       gang,
+			}},
+		}
 	}
-	if _, err := s.submit("normal", "5e00000000000001", serving, job{Spec: "work=40000", Phases: big(2, false)}); err != nil {
+	first, gang, id := "5e00000000000001", "5e00000000000003", "5e00000000000002"
+	if _, err := s.submit("normal", first, serving, wide(workers-1, false)); err != nil {
 		return verdict{}, err
 	}
-	if !waitFor(10*time.Second, func() bool { return len(s.rec.startsOf("5e00000000000001")) == 2 }) {
+	if !waitFor(10*time.Second, func() bool { return len(s.rec.startsOf(first)) == workers-1 }) {
 		return verdict{}, errors.New("the first job has not started")
 	}
-	if trouble {
-		if _, err := s.submit("normal", "5e00000000000003", serving, job{Spec: "work=40000", Phases: big(3, true)}); err != nil {
-			return verdict{}, err
-		}
-	}
-	time.Sleep(8 * time.Second)
-	id := "5e00000000000002"
-	acked, err := s.submit("normal", id, branch, job{
+	if _, err := s.submit("normal", id, branch, job{
 		Spec: "lasting",
 		Phases: []step{{
 			Count:       1,
@@ -389,62 +410,32 @@
 			EstimateMs:  3000,
 			LongRunning: true,
 		}},
-	})
-	if err != nil {
+	}); err != nil {
 		return verdict{}, err
 	}
-	waitFor(25*time.Second, func() bool { return len(s.rec.startsOf(id)) > 0 })
-	l := s.rec.startsOf(id)
-	if len(l) == 0 {
-		return verdict{true, fmt.Sprintf("LOST: the task has not started %.1f s after its acknowledgement", time.Since(acked).Seconds())}, nil
-	}
-	d := l[0].at.Sub(acked)
-	return verdict{d > 9*time.Second, fmt.Sprintf("the job began after %d ms", d.Milliseconds())}, nil
-}
-
-// flap: a worker goes down and up by turns, and a job can run only there.
-func flap(s *site, trouble bool) (verdict, error) {
-	const (
-		period = 1400 * time.Millisecond
-		length = 6500 * time.Millisecond
-	)
-	s.addTenant(branch, 0)
-	if err := s.begin(7); err != nil {
-		return verdict{}, err
+	if !waitFor(10*time.Second, func() bool { return s.isRunning(id) }) {
+		return verdict{}, errors.New("the lasting task has not started")
 	}
-	id := "5e00000000000002"
-	_, err := s.submit("normal", id, branch, job{
-		Spec: "work=4000",
-		Phases: []step{{
-			Count:         1,
-			CPU:           7500,
-			MemMb:         31000,
-			Gpu:           1,
-			EstimateMs:    4000,
-			RequiredLabel: "r1-2",
-		}},
-	})
-	if err != nil {
+	if _, err := s.submit("normal", gang, serving, wide(workers, true)); err != nil {
 		return verdict{}, err
 	}
-	if !waitFor(10*time.Second, func() bool { return len(s.rec.startsOf(id)) > 0 }) {
-		return verdict{}, errors.New("the task has not started")
-	}
-	time.Sleep(300 * time.Millisecond)
-	w := s.workers[6]
-	for end := time.Now().Add(length); trouble && time.Now().Before(end); {
-		w.crash()
-		time.Sleep(period / 2)
-		if err := w.start(); err != nil {
-			return verdict{}, err
+	time.Sleep(8 * time.Second)
+	lostAt := time.Now()
+	for _, w := range s.workers {
+		if l := w.running(); trouble && len(l) == 1 && strings.HasPrefix(l[0], id) {
+			w.crash()
+			time.Sleep(downTime)
+			if err := w.start(); err != nil {
+				return verdict{}, err
+			}
 		}
-		time.Sleep(period / 2)
 	}
-	state := ""
-	for end := time.Now().Add(40 * time.Second); time.Now().Before(end) && state != "completed" && state != "failed"; time.Sleep(time.Second) {
-		state = s.state("normal", id)
+	waitFor(watch, func() bool { return s.isRunning(id) })
+	d := time.Since(lostAt)
+	if !s.isRunning(id) {
+		return verdict{true, fmt.Sprintf("LOST: the task was not started again for %.1f s after its worker crashed", d.Seconds())}, nil
 	}
-	return verdict{state != "completed", fmt.Sprintf("the job is shown as %q after %d starts, none of which ended \"failed\"", state, len(s.rec.startsOf(id)))}, nil
+	return verdict{d > limit, fmt.Sprintf("the task was away for %d ms", d.Milliseconds())}, nil
 }
 
 // routeRemoved: a route is removed while a job of it is at its first step.
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -28,18 +28,19 @@
 	reason string
 }
 
+// cases are the cases of review/11 to review/15, and below them further faults that the report names.
 var cases = map[string]func(s *site, trouble bool) (verdict, error){
-	"reclaim":  reclaim,
-	"fills":    fills,
-	"crashes":  crashes,
+	"takeover": takeover,
 	"cancel":   cancelUnknown,
+	"foreign":  foreignHeartbeat,
+	"reserve":  reserve,
+	"reclaim":  reclaim,
+
+	"affinity": affinity,
 	"losses":   losses,
 	"longhold": longHold,
-	"affinity": affinity,
-	"reserve":  reserve,
-	"flap":     flap,
+	"fills":    fills,
 	"route":    routeRemoved,
-	"foreign":  foreignHeartbeat,
 }
 
 func main() { os.Exit(play()) }
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -417,6 +417,39 @@
 	}
 }
 
+// scheduler returns the entry whose log shows the latest term.
+func (s *site) scheduler() *daemon {
+	var best *daemon
+	latest := ""
+	for _, d := range s.entries {
+		b, err := os.ReadFile(filepath.Join(s.folder, d.name+".log"))
+		if err != nil {
+			continue
+		}
+		for _, l := range strings.Split(string(b), "\n") {
+			// Lines begin with their time, in a form that sorts.
+			if strings.Contains(l, "event=term_begun") && l > latest {
+				best, latest = d, l
+			}
+		}
+	}
+	return best
+}
+
+// restartDelay is how long after its end the platform starts a process again.
+const restartDelay = 300 * time.Millisecond
+
+// killScheduler kills the process of the scheduler, which is started again.
+func (s *site) killScheduler() error {
+	d := s.scheduler()
+	if d == nil {
+		return errors.New("no entry is the scheduler")
+	}
+	d.signal(syscall.SIGKILL)
+	time.Sleep(restartDelay)
+	return d.run()
+}
+
 // end ends all processes and removes the temporary folder.
 func (s *site) end() {
 	for _, w := range s.workers {
@@ -506,6 +539,7 @@
 	TargetMs     int    `json:",omitempty"`
 	MaxPerServer int    `json:",omitempty"`
 	Image        string `json:",omitempty"`
+	MayMiss      int    `json:",omitempty"`
 	Gang         bool   `json:",omitempty"`
 	Affinity     string `json:",omitempty"`
 	// RequiredLabel is a label that the worker must have.
