--- a/intake/submit.go
+++ b/intake/submit.go
@@ -97,6 +97,7 @@
 func (d *Intake) Cancel(c context.Context, t *ResolvedRequest) error {
 	s, err := d.State(c, t)
 	if err != nil {
+		d.ports.Log.WithFields(logrus.Fields{"job": t.JobID, "customer": t.Customer, "outcome": outcome(err)}).Info("job_cancel_requested")
 		return err
 	}
 	return d.CancelInState(c, t, s)
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -45,7 +45,7 @@
 func (t *term) schedulingPass(now time.Time) {
 	for _, m := range t.agents {
 		if t.workerLeasesExpired(m, now) {
-			m.accountedFor = true
+			t.markAccountedFor(m, accountedByExpiry)
 			for _, r := range m.runs {
 				t.removeLostRun(m, r)
 			}
--- a/leader/report.go
+++ b/leader/report.go
@@ -71,7 +71,7 @@
 	m.vacant = s.Vacant
 	m.acceptsTasks = s.Settled && !s.Vacant && !s.Unregistered
 	if s.Vacant || (s.Settled && s.Worker.Known) {
-		m.accountedFor = true
+		t.markAccountedFor(m, accountedByReport)
 		t.removeUnlistedRuns(m, s, listed)
 	}
 	t.resolveEarlyLosses(m)
--- a/leader/term.go
+++ b/leader/term.go
@@ -70,6 +70,8 @@
 	speedsChanged bool
 	// ages tells how long ago jobs have ended.
 	ages ageMarks
+	// heldBackSince is since when jobs wait for agents that are unaccounted for, zero if none do.
+	heldBackSince time.Time
 	// keepsRoom is what contended returned last.
 	keepsRoom bool
 	// room is where the last decision made room for units, by their first tasks.
--- a/leader/units.go
+++ b/leader/units.go
@@ -11,17 +11,6 @@
 	"hemlockhinge/policy"
 )
 
-// hasUnaccountedAgents reports whether a worker may still run something that an earlier
-// term started and that has not been reported to this one.
-func (t *term) hasUnaccountedAgents() bool {
-	for _, m := range t.agents {
-		if !m.accountedFor {
-			return true
-		}
-	}
-	return false
-}
-
 // unitLister collects the units of one scheduling pass.
 type unitLister struct {
 	term *term
@@ -54,11 +43,17 @@
 	}
 	unaccounted := t.hasUnaccountedAgents()
 	l.earlyLosses = t.countEarlyLosses(now)
+	heldBack := 0
 	for _, j := range t.jobs {
-		if j.schedulable() && (!unaccounted || j.revision >= t.leadership.epoch) {
+		switch {
+		case !j.schedulable():
+		case unaccounted && j.revision < t.leadership.epoch:
+			heldBack++
+		default:
 			l.addJob(j)
 		}
 	}
+	t.recordHeldBack(heldBack, now)
 	if t.ranksByCost() {
 		l.rankByCost()
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -42,6 +42,8 @@
 	workerSpeed       *prometheus.GaugeVec
 	workerUncertainty *prometheus.GaugeVec
 	clientsRefused    *prometheus.CounterVec
+	unaccountedAgents prometheus.Gauge
+	heldBackJobs      prometheus.Gauge
 	held              *heldCollector
 }
 
@@ -112,9 +114,19 @@
 			Name:      "clients_refused_total",
 			Help:      "Connections and requests that were refused or closed for want of room.",
 		}, []string{"cause"}),
+		unaccountedAgents: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace,
+			Name:      "unaccounted_agents",
+			Help:      "Agents whose workers may run tasks that the scheduler does not know, at its last pass.",
+		}),
+		heldBackJobs: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace,
+			Name:      "held_back_jobs",
+			Help:      "Jobs with tasks that wait until these agents are accounted for.",
+		}),
 		held: newHeldCollector(),
 	}
-	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.deregistrations, m.unreadableParts, m.workerSpeed, m.workerUncertainty, m.clientsRefused, m.held)
+	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.deregistrations, m.unreadableParts, m.workerSpeed, m.workerUncertainty, m.clientsRefused, m.unaccountedAgents, m.heldBackJobs, m.held)
 	return m
 }
 
@@ -194,6 +206,15 @@
 	}
 }
 
+// HeldBack records how many agents are unaccounted for, and how many jobs have tasks that wait for
+// them.
+func (m *Meter) HeldBack(agents, jobs int) {
+	if m != nil {
+		m.unaccountedAgents.Set(float64(agents))
+		m.heldBackJobs.Set(float64(jobs))
+	}
+}
+
 // ConfigAge records how old the configuration is by which a caller's request is resolved.
 func (m *Meter) ConfigAge(d time.Duration) {
 	if m != nil {
