--- a/leader/agent.go
+++ b/leader/agent.go
@@ -40,6 +40,16 @@
 	// accountedFor is false until all that may run at the worker is known in this
 	// term, from the agent's report or because the worker's leases have expired.
 	accountedFor bool
+	// absence is what an earlier term has stored of the agent, nil if nothing, and absentTasks are
+	// its tasks. They count while the agent is unaccounted for.
+	absence     *absence
+	absentTasks map[graph.Task]bool
+	// absentSince is since when the agent has been out of contact by its absence. It is zero if there
+	// is none, and once the agent is in session.
+	absentSince time.Time
+	// returning is set while the agent is in session, or a session waits for the end of its
+	// absence.
+	returning bool
 	// vacant means that all leases of the worker have expired, by the newest report.
 	vacant bool
 	// acceptsTasks means that the worker answers its agent and takes tasks.
@@ -130,6 +140,7 @@
 	}
 	c, cancel := context.WithCancel(t.ctx)
 	m = newAgentState(addr, cancel)
+	t.restoreAbsence(m)
 	t.agents[addr] = m
 	t.goroutines.Go(func() { t.maintainSession(c, m) })
 }
--- a/leader/contention_test.go
+++ b/leader/contention_test.go
@@ -89,7 +89,7 @@
 		t.Errorf("the older job was overtaken %d times, the younger one %d times", n, last.overtaken)
 	}
 	ranks := map[string]float64{}
-	for _, u := range v.startableUnits(time.Now(), nil, nil) {
+	for _, u := range v.startableUnits(time.Now(), nil, nil, &heldBack{}) {
 		ranks[u.Job] = u.Rank
 	}
 	if len(ranks) != 2 || ranks["other"] >= ranks["next"] {
--- a/leader/inputs.go
+++ b/leader/inputs.go
@@ -67,10 +67,13 @@
 	}
 }
 
-// restore reads the progress of all jobs, and retries until the store answers.
+// restore reads the progress of all jobs and the absences of agents, and retries until the store answers.
 func (t *term) restore() {
 	for {
 		items, _, err := mirror.ListAll(t.ctx, t.leader.ports.Store, progressPrefix)
+		if err == nil {
+			err = t.loadAbsences(t.ctx)
+		}
 		if err == nil {
 			t.applyProgress(items)
 			return
--- a/leader/keys.go
+++ b/leader/keys.go
@@ -13,8 +13,8 @@
 // Keys in the store. The role key and the keys that other processes write for the
 // scheduler share the prefix inputsPrefix, so that a single watch delivers their
 // changes in order: a scheduler learns that it has lost the role before it learns of
-// any job accepted after that. Keys below progressPrefix, speedsKey and ageMarksKey are
-// written by the scheduler alone.
+// any job accepted after that. Keys below progressPrefix, speedsKey, ageMarksKey and absencesKey
+// are written by the scheduler alone.
 const (
 	inputsPrefix   = "hemlockhinge/in/"
 	roleKey        = inputsPrefix + "leader"
@@ -24,6 +24,7 @@
 	progressPrefix = "hemlockhinge/progress/"
 	speedsKey      = "hemlockhinge/speeds"
 	ageMarksKey    = "hemlockhinge/ages"
+	absencesKey    = "hemlockhinge/absences"
 )
 
 // JobKey returns the key of a job's record.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -223,6 +223,7 @@
 		l.ports.Log.WithError(err).Warn("last_flush_failed")
 	}
 	t.storeSpeeds(c)
+	t.storeAbsences(c)
 	l.role.release(c, g)
 }
 
--- a/leader/pass.go
+++ b/leader/pass.go
@@ -52,13 +52,15 @@
 		}
 		t.removeIfGone(m, now)
 	}
-	t.stopUnwantedRuns(now)
+	h := t.heldBackWork()
+	t.recordHeldBack(&h, now)
+	t.stopUnwantedRuns(now, &h)
 	t.updateSpeeds(now)
 	t.markGuaranteedJobs()
 	w, agents := t.allocWorkers(now)
 	g, runs := t.runningGroups(w, agents, now)
 	if t.roleCertain() && t.settingsCurrent() {
-		d := alloc.Decide(w, g, t.startableUnits(now, agents, totalCapacity(w)))
+		d := alloc.Decide(w, g, t.startableUnits(now, agents, totalCapacity(w), &h))
 		for _, e := range d.Stop {
 			for _, r := range runs[e.Group] {
 				t.preempt(r, e.For, now)
--- a/leader/session.go
+++ b/leader/session.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"hemlockhinge/fence"
 	"hemlockhinge/pause"
 	"hemlockhinge/wire"
 )
@@ -76,6 +76,10 @@
 		t.endIfSuperseded(err)
 		return err
 	}
+	defer t.leftContact(m)
+	if err := t.endAbsence(c, m); err != nil {
+		return fmt.Errorf("end absence: %w", err)
+	}
 	t.sessionOpened(m, p, o.Session, s)
 	defer t.sessionClosed(m, p)
 	return t.pingLoop(c, m, p)
@@ -128,6 +132,7 @@
 	m.reportSeq = 0
 	m.lastAcknowledgedEnd = 0
 	m.lastContact = time.Now()
+	t.endSilence(m)
 	if s.AgentMS < m.agentClockMS {
 		m.agentRestarts++
 		for _, r := range m.runs {
@@ -205,11 +210,5 @@
 // have certainly ended: an agent renews its worker's leases only while it is in
 // contact with a scheduler, this one or its predecessor.
 func (t *term) workerLeasesExpired(m *agentState, now time.Time) bool {
-	if m.peer != nil {
-		return false
-	}
-	limit := time.Duration(float64(t.leader.settings.SilenceTolerance)*(1+fence.MaxClockDrift)) + silenceMargin
-	// The predecessor may act for that long after its role has expired.
-	predecessor := maxUnrenewedTime - roleTTL
-	return now.Sub(m.lastContact) > limit && now.Sub(t.startedAt) > limit+predecessor
+	return t.silence(m, now) > t.leaseExpiry()
 }
--- a/leader/stop.go
+++ b/leader/stop.go
@@ -14,9 +14,7 @@
 
 // stopUnwantedRuns stops the runs of ended jobs, the members of incomplete gangs, and
 // unexpected runs.
-func (t *term) stopUnwantedRuns(now time.Time) {
-	// An agent that has not reported yet may run the missing members of a gang.
-	unaccounted := t.hasUnaccountedAgents()
+func (t *term) stopUnwantedRuns(now time.Time, h *heldBack) {
 	for _, j := range t.jobs {
 		for k, r := range j.runs {
 			if j.progress.Task(j.Job, k).Done {
@@ -25,7 +23,9 @@
 				}
 				continue
 			}
-			if r.stopping || !j.schedulable() || (j.Steps[k.Step].Gang && !unaccounted && !j.gangComplete(k, now)) {
+			// The missing members of a gang may run where no agent has reported yet.
+			incomplete := j.Steps[k.Step].Gang && !j.gangComplete(k, now) && !h.holdsMember(j, k)
+			if r.stopping || !j.schedulable() || incomplete {
 				t.stopRun(r, now)
 			}
 		}
--- a/leader/term.go
+++ b/leader/term.go
@@ -34,7 +34,9 @@
 	startedAt  time.Time
 	wake       chan struct{}
 	flushNow   chan struct{}
-	cancel     context.CancelFunc
+	// absencesNow wakes storeAbsencesLoop.
+	absencesNow chan struct{}
+	cancel      context.CancelFunc
 	// storeLossLogged is set while the store is unavailable, so that the failure is
 	// logged only once.
 	storeLossLogged bool
@@ -58,6 +60,7 @@
 	// show a cancellation before its job.
 	cancellations map[string]bool
 	agents        map[string]*agentState
+	absences      absences
 	sessionCount  uint64
 	// meanRunTime is the moving average of the run times of each queue at normal speed.
 	meanRunTime map[string]time.Duration
@@ -94,6 +97,7 @@
 		startedAt:     time.Now(),
 		wake:          make(chan struct{}, 1),
 		flushNow:      make(chan struct{}, 1),
+		absencesNow:   make(chan struct{}, 1),
 		ready:         make(chan struct{}),
 		jobs:          map[string]*job{},
 		cancellations: map[string]bool{},
@@ -101,6 +105,9 @@
 		speeds:        map[string]*serviceSpeeds{},
 		room:          map[graph.Task]roomPlan{},
 		agents:        map[string]*agentState{},
+		absences: absences{
+			settled: make(chan struct{}),
+		},
 	}
 	t.inputs = mirror.Mirror{
 		Store:            l.ports.Store,
@@ -123,6 +130,7 @@
 	t.goroutines.Go(func() { t.confirmInputs(c) })
 	t.goroutines.Go(func() { t.flushLoop(c) })
 	t.goroutines.Go(func() { t.storeSpeedsLoop(c) })
+	t.goroutines.Go(func() { t.storeAbsencesLoop(c) })
 	t.goroutines.Go(func() { t.expireLoop(c) })
 	t.goroutines.Go(func() { t.lateTimers.run(c) })
 	t.passLoop(c)
--- a/leader/units.go
+++ b/leader/units.go
@@ -20,6 +20,7 @@
 	agents      []*agentState
 	// capacity is the total capacity of each service.
 	capacity map[string]graph.Size
+	heldBack *heldBack
 	// earlyLosses is as countEarlyLosses returns it.
 	earlyLosses map[graph.Task]int
 	// contended is the result of term.contended.
@@ -29,31 +30,23 @@
 	items []order.Item
 }
 
-// startableUnits returns the units that may start now. While an agent is unaccounted
-// for, these are only units of jobs that were submitted in this term, which cannot be
-// running already.
-func (t *term) startableUnits(now time.Time, agents []*agentState, capacity map[string]graph.Size) []alloc.Unit {
+// startableUnits returns the units that may start now, without those that are held back.
+func (t *term) startableUnits(now time.Time, agents []*agentState, capacity map[string]graph.Size, h *heldBack) []alloc.Unit {
 	l := unitLister{
 		term:        t,
 		now:         now,
+		heldBack:    h,
 		timeOfDayMS: t.medianTimeOfDay(now),
 		agents:      agents,
 		capacity:    capacity,
 		contended:   t.contended(),
 	}
-	unaccounted := t.hasUnaccountedAgents()
 	l.earlyLosses = t.countEarlyLosses(now)
-	heldBack := 0
 	for _, j := range t.jobs {
-		switch {
-		case !j.schedulable():
-		case unaccounted && j.revision < t.leadership.epoch:
-			heldBack++
-		default:
+		if j.schedulable() && !h.holdsJob(j) {
 			l.addJob(j)
 		}
 	}
-	t.recordHeldBack(heldBack, now)
 	if t.ranksByCost() {
 		l.rankByCost()
 	}
@@ -83,7 +76,7 @@
 // one.
 func (l *unitLister) addStep(j *job, q *policy.Queue, occurrence, step int) {
 	s := &j.Steps[step]
-	tasks, active := j.startableTasks(occurrence, step, l.earlyLosses, l.now)
+	tasks, active := l.startableTasks(j, occurrence, step)
 	switch {
 	case len(tasks) == 0 || !j.progress.StepReady(j.Job, occurrence, step):
 		return
@@ -175,7 +168,7 @@
 
 // startableTasks returns the tasks of a step that may be started, and how many run or
 // are being started.
-func (j *job) startableTasks(occurrence, step int, earlyLosses map[graph.Task]int, now time.Time) (tasks []graph.Task, active int) {
+func (l *unitLister) startableTasks(j *job, occurrence, step int) (tasks []graph.Task, active int) {
 	for i := range j.Steps[step].Count {
 		k := graph.Task{
 			Job:        j.ID,
@@ -186,7 +179,7 @@
 		switch {
 		case j.runs[k] != nil:
 			active++
-		case j.startable(k, earlyLosses[k], now):
+		case !l.heldBack.holds(j, k) && j.startable(k, l.earlyLosses[k], l.now):
 			tasks = append(tasks, k)
 		}
 	}
