--- a/intake/intake.go
+++ b/intake/intake.go
@@ -89,6 +89,9 @@
 
 func (e *Error) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Detail) }
 
+// isNoSuchJob reports whether the caller has no such job.
+func (e *Error) isNoSuchJob() bool { return e.Status == http.StatusGone }
+
 func errorf(status int, format string, a ...any) *Error {
 	return &Error{
 		Status: status,
@@ -144,9 +147,10 @@
 
 // Intake handles callers' requests.
 type Intake struct {
-	ports     Ports
-	settings  Settings
-	scheduler schedulerClient
+	ports       Ports
+	settings    Settings
+	scheduler   schedulerClient
+	withdrawals withdrawals
 	// objects follows the operators' objects.
 	objects mirror.Mirror
 
@@ -320,6 +324,28 @@
 	}, nil
 }
 
+// resolveCaller resolves a request that names no queue: it only looks up the customer.
+func resolveCaller(g *policy.Config, v Request) *ResolvedRequest {
+	n, _ := g.CustomerByKey(v.APIKey)
+	return &ResolvedRequest{
+		request:  v,
+		config:   g,
+		Customer: n,
+		JobID:    v.JobID,
+	}
+}
+
+// resolveAgain resolves the request in another version of the configuration.
+func (t *ResolvedRequest) resolveAgain(g *policy.Config) (*ResolvedRequest, error) {
+	if t.Queue == nil {
+		return resolveCaller(g, t.request), nil
+	}
+	return resolve(g, t.request)
+}
+
+// jobKey returns the key of the record of the job that the request names.
+func (t *ResolvedRequest) jobKey() string { return leader.JobKey(t.JobID) }
+
 // lookUpQueue returns the queue that a request names, and the id of the job.
 func (v Request) lookUpQueue(g *policy.Config) (*policy.Queue, string, error) {
 	if v.Queue != "" {
@@ -347,6 +373,15 @@
 	if err != nil {
 		return nil, "", err
 	}
+	t, err := resolveJob(g, id, key, i)
+	if err != nil {
+		return nil, "", err
+	}
+	return t, i.State, nil
+}
+
+// resolveJob returns the request with which a caller acts for a job, or an *Error.
+func resolveJob(g *policy.Config, id, key string, i leader.JobInfo) (*ResolvedRequest, error) {
 	name := i.Queue.Name
 	if v := g.Lookup(i.Queue); v != nil {
 		name = v.Name
@@ -357,9 +392,9 @@
 		APIKey: key,
 	})
 	if err == nil && !t.mayActFor(i.Customer) {
-		return nil, "", noSuchJob(id)
+		return nil, noSuchJob(id)
 	}
-	return t, i.State, err
+	return t, err
 }
 
 // Pending returns how many jobs of the request's queue have not started.
@@ -393,8 +428,7 @@
 func (d *Intake) job(c context.Context, id string) (leader.JobInfo, error) {
 	i, err := d.queryJob(c, id)
 	if err != nil {
-		d.ports.Log.WithError(err).WithField("job", id).Info("job_state_unavailable")
-		return leader.JobInfo{}, d.unavailable("the scheduler and the store cannot be reached")
+		return leader.JobInfo{}, d.jobUnavailable(id, err)
 	}
 	if i.State == "" {
 		return leader.JobInfo{}, noSuchJob(id)
@@ -402,4 +436,10 @@
 	return i, nil
 }
 
+// jobUnavailable returns the error for a job of which nothing could be learnt.
+func (d *Intake) jobUnavailable(id string, err error) *Error {
+	d.ports.Log.WithError(err).WithField("job", id).Info("job_state_unavailable")
+	return d.unavailable("the scheduler and the store cannot be reached")
+}
+
 func noSuchJob(id string) *Error { return errorf(http.StatusGone, "job %q does not exist", id) }
--- a/intake/query.go
+++ b/intake/query.go
@@ -169,6 +169,7 @@
 			Prefix: r.Prefix,
 		},
 		Customer: r.Customer,
+		Revision: r.Revision,
 	}, nil
 }
 
@@ -190,6 +191,7 @@
 	v := leader.JobInfo{
 		Queue:    leader.QueueRefOf(j),
 		Customer: j.Customer,
+		Revision: i.Revision,
 	}
 	v.State, err = d.storedProgress(c, id)
 	if err != nil || v.State.Final() {
--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -41,7 +41,7 @@
 	Resolve(c context.Context, v intake.Request) (*intake.ResolvedRequest, error)
 	SubmitIdempotent(c context.Context, t *intake.ResolvedRequest, j *graph.Job) error
 	Find(c context.Context, id, key string) (*intake.ResolvedRequest, graph.State, error)
-	CancelInState(c context.Context, t *intake.ResolvedRequest, s graph.State) error
+	CancelByID(c context.Context, id, key string) (*intake.ResolvedRequest, graph.State, error)
 }
 
 // Ports are the dependencies of the API.
@@ -164,13 +164,10 @@
 func (p Ports) cancel(c echo.Context) error {
 	x, cancel := context.WithTimeout(c.Request().Context(), callTimeout)
 	defer cancel()
-	t, s, err := p.Jobs.Find(x, c.Param("id"), apiKey(c.Request()))
+	t, s, err := p.Jobs.CancelByID(x, c.Param("id"), apiKey(c.Request()))
 	if err != nil {
 		return err
 	}
-	if err := p.Jobs.CancelInState(x, t, s); err != nil {
-		return err
-	}
 	if !s.Final() {
 		s = graph.Cancelled
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -249,6 +249,8 @@
 	State    graph.State
 	Queue    policy.QueueRef
 	Customer string
+	// Revision is that of the job's record in the store.
+	Revision uint64
 }
 
 // Job returns what is known of a job, zero if the scheduler does not know it. It returns
@@ -296,6 +298,7 @@
 			Host:     i.Queue.Host,
 			Prefix:   i.Queue.Prefix,
 			Customer: i.Customer,
+			Revision: i.Revision,
 		}, nil
 	case *wire.GetPendingCount:
 		n, err := l.Pending(v.Queue)
--- a/leader/term.go
+++ b/leader/term.go
@@ -160,6 +160,7 @@
 		State:    j.state(),
 		Queue:    QueueRefOf(j.Job),
 		Customer: j.Customer,
+		Revision: j.revision,
 	}
 }
 
--- a/wire/cluster.go
+++ b/wire/cluster.go
@@ -150,7 +150,8 @@
 }
 
 // JobState is the state of a job as a graph.State, and its queue by name and by where it took
-// the job. State is empty if the scheduler does not know the job.
+// the job. State is empty if the scheduler does not know the job. Revision is that of the job's record
+// in the store.
 type JobState struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	State    string
@@ -158,6 +159,7 @@
 	Host     string
 	Prefix   string
 	Customer string
+	Revision uint64
 }
 
 // GetPendingCount asks the scheduler how many jobs of a queue have not started yet. The reply
