--- a/intake/query.go
+++ b/intake/query.go
@@ -193,19 +193,17 @@
 		Customer: j.Customer,
 		Revision: i.Revision,
 	}
-	v.State, err = d.storedProgress(c, id)
-	if err != nil || v.State.Final() {
-		return v, err
-	}
+	// The cancellation is read first: a job whose end is not in the store after it ends as cancelled.
 	_, err = d.ports.Store.Get(c, leader.CancelKey(id))
-	switch {
-	case err == nil:
+	cancelled := err == nil
+	if err != nil && !errors.As(err, &none) {
+		return leader.JobInfo{}, err
+	}
+	v.State, err = d.storedProgress(c, id)
+	if cancelled && !v.State.Final() {
 		v.State = graph.Cancelled
-		return v, nil
-	case errors.As(err, &none):
-		return v, nil
 	}
-	return leader.JobInfo{}, err
+	return v, err
 }
 
 // storedProgress returns the state in a job's progress record in the store. A job
--- a/leader/flush.go
+++ b/leader/flush.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"hemlockhinge/graph"
 	"hemlockhinge/pause"
 	"hemlockhinge/store"
 )
@@ -55,11 +56,13 @@
 	version  uint64
 	revision uint64
 	value    []byte
+	// ends means that the job ends by this change, and was not cancelled.
+	ends bool
 }
 
-// maxChangesPerTxn is how many changes fit into one transaction: each takes a
-// condition and a write, beside the condition on the role.
-const maxChangesPerTxn = (store.MaxTxn - 1) / 2
+// maxChangesPerTxn is how many changes fit into one transaction: each takes up to two
+// conditions and a write, beside the condition on the role.
+const maxChangesPerTxn = (store.MaxTxn - 1) / 3
 
 // flush writes all changes that are not in the store yet, and acknowledges the ends of
 // runs among them to the agents.
@@ -93,7 +96,8 @@
 // progressTxn writes changes on condition that this term still holds the role and that
 // each progress key has its last known revision. A write that was not answered may
 // take effect seconds later; the second condition keeps it from overwriting a newer
-// one.
+// one. A job ends on condition that it is not cancelled, so that it is shown as cancelled
+// from its cancellation on, or never.
 func (t *term) progressTxn(l []progressChange) store.Txn {
 	x := store.Txn{
 		If: []store.Precondition{{Key: roleKey, Revision: t.leadership.epoch}},
@@ -104,6 +108,11 @@
 			Key:      k,
 			Revision: v.revision,
 		})
+		if v.ends {
+			x.If = append(x.If, store.Precondition{
+				Key: CancelKey(v.job.ID),
+			})
+		}
 		x.Put = append(x.Put, store.Write{
 			Key:   k,
 			Value: v.value,
@@ -113,8 +122,8 @@
 }
 
 // adoptRevisions takes the revisions of progress keys from a failed transaction, which
-// an earlier write without a reply may have changed. It reports whether this term
-// still holds the role.
+// an earlier write without a reply may have changed, and cancellations that this term has not
+// seen yet. It reports whether this term still holds the role.
 func (t *term) adoptRevisions(f *store.TxnConflictError, l []progressChange) bool {
 	if i, ok := f.Item(roleKey); !ok || i.Revision != t.leadership.epoch {
 		return false
@@ -123,11 +132,32 @@
 	defer t.mu.Unlock()
 	for _, v := range l {
 		i, _ := f.Item(ProgressKey(v.job.ID))
-		v.job.storedRevision = i.Revision
+		v.job.adoptStored(i)
+		if _, ok := f.Item(CancelKey(v.job.ID)); ok {
+			// No earlier write of the job's end can take effect any more.
+			v.job.endUnconfirmed = false
+			t.cancelJob(v.job.ID)
+		}
 	}
 	return true
 }
 
+// adoptStored takes the revision of a job's progress in the store, and its end if the store has one:
+// an end without a reply has taken effect.
+func (j *job) adoptStored(i store.Item) {
+	if i.Revision == 0 || i.Revision == j.storedRevision {
+		j.storedRevision = i.Revision
+		return
+	}
+	j.storedRevision = i.Revision
+	p, err := DecodeProgress(i.Value)
+	if err == nil && p.State.Final() {
+		j.progress.State = p.State
+		j.publishedState = p.State
+		j.endUnconfirmed = false
+	}
+}
+
 // pendingChanges returns as many changes as fit into one transaction.
 func (t *term) pendingChanges() ([]progressChange, error) {
 	t.mu.Lock()
@@ -137,20 +167,34 @@
 		if j.progressVersion == j.storedVersion || len(l) >= maxChangesPerTxn {
 			continue
 		}
+		j.endAsCancelled()
 		b, err := msgpack.Marshal(j.progress)
 		if err != nil {
 			return nil, err
 		}
-		l = append(l, progressChange{
+		v := progressChange{
 			job:      j,
 			version:  j.progressVersion,
 			revision: j.storedRevision,
 			value:    b,
-		})
+			ends:     j.endIsOpen() && j.progress.State != graph.Cancelled,
+		}
+		j.endUnconfirmed = v.ends
+		l = append(l, v)
 	}
 	return l, nil
 }
 
+// endIsOpen reports whether a job has ended, and its end is not known to be in the store.
+func (j *job) endIsOpen() bool { return j.progress.State.Final() && !j.publishedState.Final() }
+
+// endAsCancelled lets a job that has ended after its cancellation end as cancelled.
+func (j *job) endAsCancelled() {
+	if j.cancelled && j.endIsOpen() && !j.endUnconfirmed {
+		j.progress.State = graph.Cancelled
+	}
+}
+
 // markRecorded marks changes as stored at a revision, and acknowledges the ends that
 // are now recorded.
 func (t *term) markRecorded(l []progressChange, revision uint64) {
@@ -159,6 +203,7 @@
 	for _, v := range l {
 		v.job.storedVersion = v.version
 		v.job.storedRevision = revision
+		v.job.endUnconfirmed = false
 		if v.job.progressVersion == v.version {
 			v.job.publishedState = v.job.progress.State
 		}
--- a/leader/job.go
+++ b/leader/job.go
@@ -33,6 +33,8 @@
 	storedRevision uint64
 	// publishedState is the last state that is known to be in the store.
 	publishedState graph.State
+	// endUnconfirmed means that a write of the job's end, as not cancelled, has no answer yet.
+	endUnconfirmed bool
 	// withinGuarantee means that the job is covered by its customer's guarantee.
 	withinGuarantee bool
 	preemptions     int
@@ -81,14 +83,15 @@
 func (j *job) schedulable() bool { return !j.cancelled && !j.progress.State.Final() }
 
 // state returns the job's state as callers see it: a final state is shown only once it
-// is in the store.
+// is in the store. The end of a job may have been stored before its cancellation, so that is not
+// shown while a write of the end has no answer.
 func (j *job) state() graph.State {
 	switch {
 	case j.publishedState.Final():
 		return j.publishedState
-	case j.cancelled:
+	case j.cancelled && !j.endUnconfirmed:
 		return graph.Cancelled
-	case j.progress.Started:
+	case j.progress.Started || j.endUnconfirmed:
 		return graph.Running
 	}
 	return graph.Queued
