--- a/leader/ages.go
+++ b/leader/ages.go
@@ -11,12 +11,13 @@
 	"hemlockhinge/store"
 )
 
-// ageMarkInterval is how often a mark of the time that has passed is stored.
-const ageMarkInterval = 30 * time.Second
+// ageMarkInterval is how often a mark of the time that has passed is stored. What has passed since
+// the last one is lost with the scheduler.
+const ageMarkInterval = 3 * time.Second
 
 // ageMark says that at least Age has passed since a revision of the store. Marks carry the age of
-// ended jobs to the next scheduler without the time of day, which may jump: a job whose progress was
-// stored before the revision of a mark has ended at least as long ago.
+// jobs, and of the ends of jobs, to the next scheduler without the time of day, which may jump: what
+// was stored before the revision of a mark is at least as old.
 type ageMark struct {
 	Revision uint64        `msgpack:"r"`
 	Age      time.Duration `msgpack:"a"`
@@ -95,14 +96,14 @@
 	return now
 }
 
-// loadAges reads the marks of earlier terms, and reports whether the store has answered. Marks that
-// cannot be read are dropped: ended jobs are only kept for longer.
-func (t *term) loadAges(c context.Context) bool {
+// loadAges reads the marks of earlier terms, and returns an error if the store has not answered.
+// Marks that cannot be read are dropped: jobs then count as younger than they are.
+func (t *term) loadAges(c context.Context) error {
 	var a ageMarks
 	err := a.load(c, t.leader.ports.Store, time.Now())
 	var f *store.UnavailableError
 	if errors.As(err, &f) {
-		return false
+		return err
 	}
 	if err != nil {
 		t.log.WithError(err).Warn("age_marks_invalid")
@@ -110,7 +111,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ages = a
-	return true
+	return nil
 }
 
 // storeAgeMark stores a mark, on condition that this term still holds the role.
--- a/leader/expire.go
+++ b/leader/expire.go
@@ -28,12 +28,12 @@
 func (t *term) retention() time.Duration { return t.leader.settings.JobRetention + expireDelay }
 
 // expireLoop removes jobs from the store some time after they have ended, and stores marks of the
-// time that passes.
+// time that passes, once the term is restored.
 func (t *term) expireLoop(c context.Context) {
-	for !t.loadAges(c) {
-		if !pause.For(c, expireInterval) {
-			return
-		}
+	select {
+	case <-c.Done():
+		return
+	case <-t.ready:
 	}
 	marked := time.Now()
 	for pause.For(c, expireInterval) {
--- a/leader/expire_test.go
+++ b/leader/expire_test.go
@@ -89,6 +89,10 @@
 	s.mu.Lock()
 	s.term = t
 	s.mu.Unlock()
+	if err := t.loadAges(c); err != nil {
+		panic(err)
+	}
+	close(t.ready)
 	go t.expireLoop(c)
 	return t
 }
--- a/leader/inputs.go
+++ b/leader/inputs.go
@@ -67,13 +67,16 @@
 	}
 }
 
-// restore reads the progress of all jobs and the absences of agents, and retries until the store answers.
+// restore reads the progress of all jobs, the absences of agents and the age marks, and retries until the store answers.
 func (t *term) restore() {
 	for {
 		items, _, err := mirror.ListAll(t.ctx, t.leader.ports.Store, progressPrefix)
 		if err == nil {
 			err = t.loadAbsences(t.ctx)
 		}
+		if err == nil {
+			err = t.loadAges(t.ctx)
+		}
 		if err == nil {
 			t.applyProgress(items)
 			return
@@ -102,6 +105,11 @@
 		j.publishedState = p.State
 		j.storedRevision = i.Revision
 	}
+	for _, j := range t.jobs {
+		// For how long the job has had no run is not known.
+		j.lastActive = j.arrivedAt
+		j.arrivedAt = t.ages.writtenBefore(j.revision, j.arrivedAt)
+	}
 	t.restored = true
 	close(t.ready)
 	t.log.WithFields(logrus.Fields{
--- a/leader/job.go
+++ b/leader/job.go
@@ -20,7 +20,8 @@
 	startCount      int
 	revision        uint64
 	cancelled       bool
-	// arrivedAt is when this term first saw the job.
+	// arrivedAt is when the job was submitted at the latest, as far as this term and the marks of
+	// earlier ones tell.
 	arrivedAt time.Time
 	runs      map[graph.Task]*run
 	// progressVersion counts changes of progress. storedVersion is the version in the
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -224,6 +224,7 @@
 	}
 	t.storeSpeeds(c)
 	t.storeAbsences(c)
+	t.storeAgeMark(c)
 	l.role.release(c, g)
 }
 
