--- a/leader/absence.go
+++ b/leader/absence.go
@@ -151,9 +151,7 @@
 	case !m.absentSince.IsZero():
 		return now.Sub(m.absentSince)
 	}
-	// The predecessor may act for that long after its role has expired.
-	predecessor := maxUnrenewedTime - roleTTL
-	return min(now.Sub(m.lastContact), now.Sub(t.startedAt)-predecessor)
+	return min(now.Sub(m.lastContact), now.Sub(t.startedAt)-predecessorTime)
 }
 
 // storeAbsencesLoop keeps the absences in the store current until c ends.
--- a/leader/agent.go
+++ b/leader/agent.go
@@ -141,6 +141,11 @@
 	c, cancel := context.WithCancel(t.ctx)
 	m = newAgentState(addr, cancel)
 	t.restoreAbsence(m)
+	if t.inputsConfirmedAt.Sub(t.startedAtBoot) >= predecessorTime {
+		// The agent has registered since the last scheduler ceased to start tasks, and accepts none
+		// before that.
+		t.markAccountedFor(m, accountedAsNew)
+	}
 	t.agents[addr] = m
 	t.goroutines.Go(func() { t.maintainSession(c, m) })
 }
--- a/leader/election.go
+++ b/leader/election.go
@@ -24,7 +24,9 @@
 	// maxUnrenewedTime is how long after the last renewal of the role a scheduler starts
 	// tasks and keeps its agents renewing leases. It is longer than the role lasts, so that
 	// short outages of the store do no harm; a successor waits for the difference.
-	maxUnrenewedTime   = 2500 * time.Millisecond
+	maxUnrenewedTime = 2500 * time.Millisecond
+	// predecessorTime is how long a scheduler may act after its role has expired.
+	predecessorTime    = maxUnrenewedTime - roleTTL
 	campaignRetryDelay = 100 * time.Millisecond
 	// precedenceDelay is how long a candidate leaves a free role to those with more
 	// processor capacity, and precedenceJitter spreads candidates with equal capacity.
--- a/leader/heldback.go
+++ b/leader/heldback.go
@@ -91,6 +91,7 @@
 const (
 	accountedByReport = "report"
 	accountedByExpiry = "leases_expired"
+	accountedAsNew    = "registered_later"
 )
 
 // markAccountedFor records that all that may run at an agent's worker is known; t.mu is held.
--- a/leader/inputs.go
+++ b/leader/inputs.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockhinge/clock"
 	"hemlockhinge/graph"
 	"hemlockhinge/mirror"
 	"hemlockhinge/pause"
@@ -47,6 +48,15 @@
 	t.requestPass()
 }
 
+// markConfirmed is called when all changes of the inputs before a time are applied.
+func (t *term) markConfirmed(at clock.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.inputsConfirmedAt) {
+		t.inputsConfirmedAt = at
+	}
+}
+
 // checkRole reads the role key after a listing. The pages of a listing are not one
 // snapshot, so a job in it may have been accepted after the role was lost.
 func (t *term) checkRole() {
--- a/leader/term.go
+++ b/leader/term.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockhinge/advice"
+	"hemlockhinge/clock"
 	"hemlockhinge/graph"
 	"hemlockhinge/mirror"
 	"hemlockhinge/pause"
@@ -32,8 +33,10 @@
 	leadership leadership
 	log        *logrus.Entry
 	startedAt  time.Time
-	wake       chan struct{}
-	flushNow   chan struct{}
+	// startedAtBoot is startedAt by the clock that dates the confirmations of the inputs.
+	startedAtBoot clock.Time
+	wake          chan struct{}
+	flushNow      chan struct{}
 	// absencesNow wakes storeAbsencesLoop.
 	absencesNow chan struct{}
 	cancel      context.CancelFunc
@@ -51,7 +54,9 @@
 	// nothing is started any more.
 	roleLost     bool
 	inputsListed bool
-	restored     bool
+	// inputsConfirmedAt is the time before which all changes of the inputs are applied.
+	inputsConfirmedAt clock.Time
+	restored          bool
 	// ready is closed once restored is set. Sessions with agents begin only then: a
 	// report on a job that is not loaded yet would be lost.
 	ready chan struct{}
@@ -95,6 +100,7 @@
 		leadership:    g,
 		log:           l.ports.Log.WithField("epoch", g.epoch),
 		startedAt:     time.Now(),
+		startedAtBoot: l.ports.Clock.Now(),
 		wake:          make(chan struct{}, 1),
 		flushNow:      make(chan struct{}, 1),
 		absencesNow:   make(chan struct{}, 1),
@@ -115,6 +121,8 @@
 		Apply:            t.apply,
 		OnListingRead:    t.checkRole,
 		OnListingApplied: t.markListed,
+		OnConfirmed:      t.markConfirmed,
+		Clock:            l.ports.Clock,
 		Log:              t.log,
 	}
 	return t
