--- a/leader/absence.go
+++ b/leader/absence.go
@@ -44,29 +44,31 @@
 	Before uint64 `msgpack:"b"`
 }
 
-// absences are the stored absences by the addresses of the agents, as one term knows them.
+// absences are the stored absences by the revisions of the agents' registrations, as one term knows
+// them. An agent that registers again is another one for later terms, so a record of its former
+// registration has no effect there.
 type absences struct {
 	// loaded are those that this term found, as far as they still hold.
-	loaded map[string]absence
+	loaded map[uint64]absence
 	// stored are those in the store, and revision is that of their key, 0 for none.
-	stored   map[string]absence
+	stored   map[uint64]absence
 	revision uint64
-	// uncertain are the agents in writes that may still take effect, or have, without an answer.
-	uncertain map[string]bool
+	// uncertain are the registrations in writes that may still take effect, or have, without an answer.
+	uncertain map[uint64]bool
 	// settled is closed and replaced once the outcome of a write is known.
 	settled chan struct{}
 }
 
-// mayBeStored reports whether the store may have an absence of an agent, now or later.
-func (a *absences) mayBeStored(agent string) bool {
-	_, ok := a.stored[agent]
-	return ok || a.uncertain[agent]
+// mayBeStored reports whether the store may have an absence of a registration, now or later.
+func (a *absences) mayBeStored(registration uint64) bool {
+	_, ok := a.stored[registration]
+	return ok || a.uncertain[registration]
 }
 
 // begin records that a write is under way, and returns what was uncertain before.
-func (a *absences) begin(l map[string]absence) map[string]bool {
+func (a *absences) begin(l map[uint64]absence) map[uint64]bool {
 	before := a.uncertain
-	a.uncertain = map[string]bool{}
+	a.uncertain = map[uint64]bool{}
 	for k := range l {
 		a.uncertain[k] = true
 	}
@@ -77,7 +79,7 @@
 }
 
 // adds reports whether a write would add agents to those that may be in the store.
-func (a *absences) adds(l map[string]absence) bool {
+func (a *absences) adds(l map[uint64]absence) bool {
 	for k := range l {
 		if !a.mayBeStored(k) {
 			return true
@@ -88,7 +90,7 @@
 
 // settle records what is in the store. No earlier write can take effect any more, since each
 // requires the revision that the key had before.
-func (a *absences) settle(l map[string]absence, revision uint64) {
+func (a *absences) settle(l map[uint64]absence, revision uint64) {
 	a.stored = l
 	a.revision = revision
 	a.uncertain = nil
@@ -104,7 +106,7 @@
 	if err != nil && !errors.As(err, &none) {
 		return err
 	}
-	var l map[string]absence
+	var l map[uint64]absence
 	if err == nil {
 		if err := codec.Unmarshal(i.Value, &l); err != nil {
 			t.log.WithError(err).Warn("absences_invalid")
@@ -122,7 +124,7 @@
 
 // restoreAbsence gives an agent the absence that an earlier term has stored; t.mu is held.
 func (t *term) restoreAbsence(m *agentState) {
-	v, ok := t.absences.loaded[m.addr]
+	v, ok := t.absences.loaded[m.registration]
 	if !ok {
 		return
 	}
@@ -210,7 +212,7 @@
 }
 
 // absencesWritten records the outcome of a write of the absences; t.mu is held.
-func (t *term) absencesWritten(l map[string]absence, revision uint64, err error) {
+func (t *term) absencesWritten(l map[uint64]absence, revision uint64, err error) {
 	var f *store.TxnConflictError
 	switch {
 	case err == nil:
@@ -222,7 +224,7 @@
 		}
 		// An earlier write without an answer has taken effect.
 		i, _ := f.Item(absencesKey)
-		var v map[string]absence
+		var v map[uint64]absence
 		if i.Revision > 0 {
 			_ = codec.Unmarshal(i.Value, &v)
 		}
@@ -234,11 +236,11 @@
 }
 
 // currentAbsences returns the absences as they are now; t.mu is held.
-func (t *term) currentAbsences(now time.Time) map[string]absence {
-	l := map[string]absence{}
-	for a, m := range t.agents {
+func (t *term) currentAbsences(now time.Time) map[uint64]absence {
+	l := map[uint64]absence{}
+	for _, m := range t.agents {
 		if d := t.silence(m, now); d >= absenceDelay && !m.returning {
-			l[a] = t.absenceOf(m, min(d, t.leaseExpiry()+absenceStep))
+			l[m.registration] = t.absenceOf(m, min(d, t.leaseExpiry()+absenceStep))
 		}
 	}
 	return l
@@ -280,7 +282,7 @@
 // absencesDiffer reports whether what is in the store must be replaced: because it names other
 // agents, or because its silences lag behind. What runs at an absent worker can only become less,
 // and does not matter once its leases have expired.
-func (t *term) absencesDiffer(l map[string]absence) bool {
+func (t *term) absencesDiffer(l map[uint64]absence) bool {
 	if !t.restored || t.roleLost {
 		return false
 	}
@@ -288,8 +290,8 @@
 		return true
 	}
 	expired := t.leaseExpiry()
-	for a, v := range l {
-		o, ok := t.absences.stored[a]
+	for k, v := range l {
+		o, ok := t.absences.stored[k]
 		if !ok || o.Silence <= expired && (v.Silence > expired || v.Silence-o.Silence >= absenceStep) {
 			return true
 		}
@@ -306,7 +308,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m.returning = true
-	for t.absences.mayBeStored(m.addr) {
+	for t.absences.mayBeStored(m.registration) {
 		settled := t.absences.settled
 		t.mu.Unlock()
 		pause.Wake(t.absencesNow)
@@ -339,6 +341,6 @@
 // endSilence forgets since when an agent has been out of contact, once it is in session. What may
 // run at its worker stays known until the agent is accounted for; t.mu is held.
 func (t *term) endSilence(m *agentState) {
-	delete(t.absences.loaded, m.addr)
+	delete(t.absences.loaded, m.registration)
 	m.absentSince = time.Time{}
 }
--- a/leader/agent.go
+++ b/leader/agent.go
@@ -22,6 +22,8 @@
 type agentState struct {
 	addr   string
 	cancel context.CancelFunc
+	// registration is the revision of the agent's registration in the store.
+	registration uint64
 	// unregistered is set while the agent's registration is deleted.
 	unregistered bool
 	redial       chan struct{}
@@ -135,11 +137,13 @@
 		return
 	case m != nil:
 		m.unregistered = false
+		m.registration = i.Revision
 		pause.Wake(m.redial)
 		return
 	}
 	c, cancel := context.WithCancel(t.ctx)
 	m = newAgentState(addr, cancel)
+	m.registration = i.Revision
 	t.restoreAbsence(m)
 	if t.inputsConfirmedAt.Sub(t.startedAtBoot) >= predecessorTime {
 		// The agent has registered since the last scheduler ceased to start tasks, and accepts none
