--- a/leader/absence.go
+++ b/leader/absence.go
@@ -36,7 +36,8 @@
 type absence struct {
 	// Silence is how long the agent had been out of contact at least when the record was written.
 	Silence time.Duration `msgpack:"s"`
-	// TasksKnown means that Tasks are all that may run at the agent's worker.
+	// TasksKnown means that Tasks are all that may run at the agent's worker, or have ended there
+	// without that being in the store.
 	TasksKnown bool     `msgpack:"k"`
 	Tasks      []string `msgpack:"t"`
 	// Before is the revision of the store from which on jobs cannot run at the worker, if its tasks
@@ -264,19 +265,22 @@
 }
 
 // taskNames returns the names of all tasks that may run at the worker of an agent that is
-// accounted for, sorted.
+// accounted for, and of those whose ends it has reported and the store may not have, sorted: the
+// worker lists these ends until they are acknowledged.
 func (m *agentState) taskNames() []string {
-	var l []string
+	l := map[string]bool{}
 	for k := range m.runs {
-		l = append(l, k.String())
+		l[k.String()] = true
 	}
 	for k := range m.unexpected {
-		if m.runs[k] == nil {
-			l = append(l, k.String())
+		l[k.String()] = true
+	}
+	for _, e := range m.pendingEnds {
+		if e.job != nil {
+			l[e.task.String()] = true
 		}
 	}
-	slices.Sort(l)
-	return l
+	return slices.Sorted(maps.Keys(l))
 }
 
 // absencesDiffer reports whether what is in the store must be replaced: because it names other
--- a/leader/agent.go
+++ b/leader/agent.go
@@ -14,6 +14,7 @@
 // pendingEnd is the reported end of a run that may not be recorded in the store yet.
 type pendingEnd struct {
 	number          int64
+	task            graph.Task
 	job             *job
 	progressVersion uint64
 }
--- a/leader/report.go
+++ b/leader/report.go
@@ -271,6 +271,7 @@
 	})
 	m.pendingEnds = append(m.pendingEnds, pendingEnd{
 		number:          e.N,
+		task:            k,
 		job:             j,
 		progressVersion: j.progressVersion,
 	})
