--- a/leader/crash.go
+++ b/leader/crash.go
@@ -70,8 +70,8 @@
 }
 
 // apartGroup returns the group of suspects with which a task may start on one worker, 0 for none, if
-// the workers of its early losses have crashed. A task that lasts is never given up, so it may share the blame for a crash. Any other one must
-// be started alone, since its job fails with the next crash.
+// the workers of its early losses have crashed. A task that lasts is never given up, so it may share
+// the blame for a crash. Any other one must be started alone, since its job fails with the next crash.
 func (j *job) apartGroup(k graph.Task, earlyLosses int) int {
 	s := j.Steps[k.Step]
 	if !s.LongRunning || s.Gang {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -55,81 +55,59 @@
 		jobWaitSeconds:    histogram("job_wait_seconds", "Time from a job's acceptance to its first start.", "class"),
 		workerCallSeconds: histogram("worker_call_seconds", "Time of calls to the worker.", "op", "outcome"),
 		storeCallSeconds:  histogram("store_call_seconds", "Time of calls to the store.", "op", "outcome"),
-		starts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace,
-			Name:      "starts_total",
-			Help:      "Starts that the scheduler ordered.",
-		}, []string{"outcome"}),
-		preemptions: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace,
-			Name:      "evictions_total",
-			Help:      "Runs stopped for more urgent ones.",
-		}),
-		passSeconds: plainHistogram("pass_seconds", "Time of scheduling passes, with the wait for the scheduler's lock."),
-		lagSeconds:  plainHistogram("scheduler_lag_seconds", "How late the scheduler's process handles timers."),
-		settingsAge: prometheus.NewGauge(prometheus.GaugeOpts{
-			Namespace: namespace,
-			Name:      "operator_settings_age_seconds",
-			Help:      "Age of the operators' settings at the scheduler's last pass.",
-		}),
-		configAgeSeconds: plainHistogram("configuration_age_seconds", "Time since the store confirmed the configuration by which a caller's request was resolved."),
-		orderAgeSeconds:  plainHistogram("start_order_age_seconds", "Age of the scheduler's start orders when the agent carries them out."),
-		workerCrashes: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace,
-			Name:      "worker_crashes_total",
-			Help:      "Unplanned restarts of the worker.",
-		}),
-		heartbeatsRefused: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace,
-			Name:      "heartbeats_refused_total",
-			Help:      "Heartbeats of other writers.",
-		}),
-		deregistrations: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace,
-			Name:      "worker_deregistrations_total",
-			Help:      "Deregistrations under the worker's id, by what has become of the worker.",
-		}, []string{"outcome"}),
-		unreadableParts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace,
-			Name:      "worker_answer_parts_unreadable_total",
-			Help:      "Parts of the worker's answers that could not be read and were left out.",
-		}, []string{"part"}),
-		workerSpeed: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: namespace,
-			Name:      "worker_speed",
-			Help:      "Estimated speed of a worker, 1 for a normal one.",
-		}, []string{"agent"}),
-		workerUncertainty: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: namespace,
-			Name:      "worker_speed_uncertainty",
-			Help:      "Standard deviation of the logarithm of a worker's estimated speed.",
-		}, []string{"agent"}),
-		linesDropped: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace,
-			Name:      "log_lines_dropped_total",
-			Help:      "Log lines beyond the budget.",
-		}),
-		clientsRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace,
-			Name:      "clients_refused_total",
-			Help:      "Connections and requests that were refused or closed for want of room.",
-		}, []string{"cause"}),
-		unaccountedAgents: prometheus.NewGauge(prometheus.GaugeOpts{
-			Namespace: namespace,
-			Name:      "unaccounted_agents",
-			Help:      "Agents whose workers may run tasks that the scheduler does not know, at its last pass.",
-		}),
-		heldBackJobs: prometheus.NewGauge(prometheus.GaugeOpts{
-			Namespace: namespace,
-			Name:      "held_back_jobs",
-			Help:      "Jobs with tasks that wait until these agents are accounted for.",
-		}),
-		held: newHeldCollector(),
+		starts:            counters("starts_total", "Starts that the scheduler ordered.", "outcome"),
+		preemptions:       counter("evictions_total", "Runs stopped for more urgent ones."),
+		passSeconds:       plainHistogram("pass_seconds", "Time of scheduling passes, with the wait for the scheduler's lock."),
+		lagSeconds:        plainHistogram("scheduler_lag_seconds", "How late the scheduler's process handles timers."),
+		settingsAge:       gauge("operator_settings_age_seconds", "Age of the operators' settings at the scheduler's last pass."),
+		configAgeSeconds:  plainHistogram("configuration_age_seconds", "Time since the store confirmed the configuration by which a caller's request was resolved."),
+		orderAgeSeconds:   plainHistogram("start_order_age_seconds", "Age of the scheduler's start orders when the agent carries them out."),
+		workerCrashes:     counter("worker_crashes_total", "Unplanned restarts of the worker."),
+		heartbeatsRefused: counter("heartbeats_refused_total", "Heartbeats of other writers."),
+		deregistrations:   counters("worker_deregistrations_total", "Deregistrations under the worker's id, by what has become of the worker.", "outcome"),
+		unreadableParts:   counters("worker_answer_parts_unreadable_total", "Parts of the worker's answers that could not be read and were left out.", "part"),
+		workerSpeed:       gauges("worker_speed", "Estimated speed of a worker, 1 for a normal one.", "agent"),
+		workerUncertainty: gauges("worker_speed_uncertainty", "Standard deviation of the logarithm of a worker's estimated speed.", "agent"),
+		linesDropped:      counter("log_lines_dropped_total", "Log lines beyond the budget."),
+		clientsRefused:    counters("clients_refused_total", "Connections and requests that were refused or closed for want of room.", "cause"),
+		unaccountedAgents: gauge("unaccounted_agents", "Agents whose workers may run tasks that the scheduler does not know, at its last pass."),
+		heldBackJobs:      gauge("held_back_jobs", "Jobs with tasks that wait until these agents are accounted for."),
+		held:              newHeldCollector(),
 	}
 	r.MustRegister(m.submitSeconds, m.jobSeconds, m.jobWaitSeconds, m.workerCallSeconds, m.storeCallSeconds, m.starts, m.preemptions, m.linesDropped, m.passSeconds, m.lagSeconds, m.settingsAge, m.configAgeSeconds, m.orderAgeSeconds, m.workerCrashes, m.heartbeatsRefused, m.deregistrations, m.unreadableParts, m.workerSpeed, m.workerUncertainty, m.clientsRefused, m.unaccountedAgents, m.heldBackJobs, m.held)
 	return m
 }
 
+func counterOpts(name, help string) prometheus.CounterOpts {
+	return prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	}
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(counterOpts(name, help))
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(counterOpts(name, help), labels)
+}
+
+func gaugeOpts(name, help string) prometheus.GaugeOpts {
+	return prometheus.GaugeOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	}
+}
+
+func gauge(name, help string) prometheus.Gauge { return prometheus.NewGauge(gaugeOpts(name, help)) }
+
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(gaugeOpts(name, help), labels)
+}
+
 func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace,
