--- a/intake/cancel.go
+++ b/intake/cancel.go
@@ -46,16 +46,19 @@
 	return found, s, err
 }
 
-// cancel cancels the job that a request names, and returns the state that it had. owner returns the
-// request with which the caller may act for a job, or an error of status 410.
-func (d *Intake) cancel(c context.Context, t *ResolvedRequest, owner func(leader.JobInfo) (*ResolvedRequest, error)) (graph.State, error) {
+// resolveOwned returns the request with which a caller may act for a job. Its error has status 410 if
+// the job is not the caller's.
+type resolveOwned func(leader.JobInfo) (*ResolvedRequest, error)
+
+// cancel cancels the job that a request names, and returns the state that it had.
+func (d *Intake) cancel(c context.Context, t *ResolvedRequest, owned resolveOwned) (graph.State, error) {
 	read := d.queryJob
 	for range maxCancelTries {
 		i, err := read(c, t.JobID)
 		if err != nil {
 			return "", d.jobUnavailable(t.JobID, err)
 		}
-		err = d.cancelFound(c, t, i, owner)
+		err = d.cancelFound(c, t, i, owned)
 		var f *conditionError
 		if !errors.As(err, &f) {
 			return i.State, err
@@ -68,11 +71,11 @@
 
 // cancelFound cancels a job that was read, or withdraws its id if the caller has no such job. It
 // returns *conditionError if the job has come or gone since it was read.
-func (d *Intake) cancelFound(c context.Context, t *ResolvedRequest, i leader.JobInfo, owner func(leader.JobInfo) (*ResolvedRequest, error)) error {
+func (d *Intake) cancelFound(c context.Context, t *ResolvedRequest, i leader.JobInfo, owned resolveOwned) error {
 	if i.State == "" {
 		return d.withdraw(c, t, i.Revision)
 	}
-	o, err := owner(i)
+	o, err := owned(i)
 	var e *Error
 	switch {
 	case errors.As(err, &e) && e.isNoSuchJob():
--- a/leader/absence.go
+++ b/leader/absence.go
@@ -99,20 +99,14 @@
 	a.settled = make(chan struct{})
 }
 
-// load reads the stored absences. Those that cannot be read are dropped: the scheduler then waits
-// for the agents as if it knew nothing of them.
+// loadAbsences reads the stored absences.
 func (t *term) loadAbsences(c context.Context) error {
 	i, err := t.leader.ports.Store.Get(c, absencesKey)
 	var none *store.NotFoundError
 	if err != nil && !errors.As(err, &none) {
 		return err
 	}
-	var l map[uint64]absence
-	if err == nil {
-		if err := codec.Unmarshal(i.Value, &l); err != nil {
-			t.log.WithError(err).Warn("absences_invalid")
-		}
-	}
+	l := t.decodeAbsences(i)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.absences.loaded = maps.Clone(l)
@@ -123,6 +117,20 @@
 	return nil
 }
 
+// decodeAbsences decodes an item with absences, which may not exist. Those that cannot be read are
+// dropped: the scheduler then waits for the agents as if it knew nothing of them.
+func (t *term) decodeAbsences(i store.Item) map[uint64]absence {
+	if i.Revision == 0 {
+		return nil
+	}
+	var l map[uint64]absence
+	if err := codec.Unmarshal(i.Value, &l); err != nil {
+		t.log.WithError(err).WithField("revision", i.Revision).Warn("absences_invalid")
+		return nil
+	}
+	return l
+}
+
 // restoreAbsence gives an agent the absence that an earlier term has stored; t.mu is held.
 func (t *term) restoreAbsence(m *agentState) {
 	v, ok := t.absences.loaded[m.registration]
@@ -225,11 +233,7 @@
 		}
 		// An earlier write without an answer has taken effect.
 		i, _ := f.Item(absencesKey)
-		var v map[uint64]absence
-		if i.Revision > 0 {
-			_ = codec.Unmarshal(i.Value, &v)
-		}
-		t.absences.settle(v, i.Revision)
+		t.absences.settle(t.decodeAbsences(i), i.Revision)
 		pause.Wake(t.absencesNow)
 	default:
 		t.log.WithError(err).WithField("agents", len(l)).Info("absences_not_stored")
